--- /dev/null
+++ b/internal/classifier/outcome.go
@@ -0,0 +1,14 @@
+package classifier
+
+// Outcome is the typed end of a request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// OutcomeAnswered means that the upstream ran the request and its whole answer is here.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that no upstream started the request and none will.
+	OutcomeNotRun Outcome = "notrun"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
--- /dev/null
+++ b/internal/connector/object.go
@@ -0,0 +1,28 @@
+package connector
+
+// Object is one stored value. Revision grows with every write to the platform.
+type Object struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Value    []byte `json:"value,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Snapshot is the state, or the changes, of one kind as of a revision of the whole platform.
+type Snapshot struct {
+	Revision uint64   `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// Kinds of objects.
+const (
+	KindSource  = "source"
+	KindHead    = "head"
+	KindSection = "section"
+	KindLease   = "lease"
+	KindStatus  = "status"
+	KindAudit   = "audit"
+	KindSeed    = "seed"
+	KindToken   = "token"
+)
--- /dev/null
+++ b/internal/faker/platform.go
@@ -0,0 +1,230 @@
+// Package faker holds stand-ins for outside systems, for tests and measurements only.
+package faker
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Platform is an object API in memory. It implements connector.Platform and can be told to fail.
+type Platform struct {
+	mutex    sync.Mutex
+	revision uint64
+	objects  map[string]map[string]connector.Object // by kind and name; deleted ones stay as tombstones
+	changed  chan struct{}
+	fault    func(Operation) Fault
+	calls    map[string]int // calls so far, by method
+}
+
+// Operation describes a call for a fault function.
+type Operation struct {
+	Method string // get, list, put, delete or watch
+	Kind   string
+	Name   string
+}
+
+// Fault says how a call fails. The zero value is no fault.
+type Fault struct {
+	Refuse bool              // fails before it takes effect
+	Lose   bool              // takes effect, then its answer is lost
+	Delay  timekeeper.Millis // answers this much later
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{
+		objects: make(map[string]map[string]connector.Object),
+		changed: make(chan struct{}),
+		calls:   make(map[string]int),
+	}
+}
+
+// SetFault installs a function that decides how each call fails; nil removes it.
+func (p *Platform) SetFault(fault func(Operation) Fault) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fault = fault
+}
+
+// Calls returns the number of calls so far by method.
+func (p *Platform) Calls() map[string]int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	calls := make(map[string]int, len(p.calls))
+	for method, count := range p.calls {
+		calls[method] = count
+	}
+	return calls
+}
+
+// Get implements connector.Platform.
+func (p *Platform) Get(ctx context.Context, kind, name string) (connector.Object, error) {
+	var object connector.Object
+	err := p.run(ctx, Operation{Method: "get", Kind: kind, Name: name}, func() error {
+		found, ok := p.objects[kind][name]
+		if !ok || found.Deleted {
+			return classifier.New(classifier.CodeObjectMissing, kind+"/"+name, "object does not exist")
+		}
+		object = found
+		return nil
+	})
+	return object, err
+}
+
+// List implements connector.Platform.
+func (p *Platform) List(ctx context.Context, kind string) (connector.Snapshot, error) {
+	var snapshot connector.Snapshot
+	err := p.run(ctx, Operation{Method: "list", Kind: kind}, func() error {
+		snapshot = p.since(kind, 0, false)
+		return nil
+	})
+	return snapshot, err
+}
+
+// Put implements connector.Platform.
+func (p *Platform) Put(ctx context.Context, object connector.Object) (uint64, error) {
+	var revision uint64
+	err := p.run(ctx, Operation{Method: "put", Kind: object.Kind, Name: object.Name}, func() error {
+		if len(object.Value) > connector.MaxValueBytes {
+			return classifier.New(classifier.CodeTooLarge, object.Kind+"/"+object.Name, "value has %d bytes", len(object.Value))
+		}
+		if err := p.check(object.Kind, object.Name, object.Revision); err != nil {
+			return err
+		}
+		revision = p.store(connector.Object{Kind: object.Kind, Name: object.Name, Value: object.Value})
+		return nil
+	})
+	return revision, err
+}
+
+// Delete implements connector.Platform.
+func (p *Platform) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	return p.run(ctx, Operation{Method: "delete", Kind: kind, Name: name}, func() error {
+		if revision == 0 {
+			return classifier.New(classifier.CodeConflict, kind+"/"+name, "a revision is required")
+		}
+		if err := p.check(kind, name, revision); err != nil {
+			return err
+		}
+		p.store(connector.Object{Kind: kind, Name: name, Deleted: true})
+		return nil
+	})
+}
+
+// Watch implements connector.Platform.
+func (p *Platform) Watch(
+	ctx context.Context, kind string, after uint64, wait timekeeper.Millis,
+) (connector.Snapshot, error) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	for first := true; ; first = false {
+		var snapshot connector.Snapshot
+		var changed chan struct{}
+		look := func() error {
+			snapshot, changed = p.since(kind, after, true), p.changed
+			return nil
+		}
+		if err := p.look(ctx, kind, first, look); err != nil {
+			return connector.Snapshot{}, err
+		}
+		if len(snapshot.Objects) > 0 {
+			return snapshot, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return snapshot, nil
+		case <-ctx.Done():
+			return connector.Snapshot{}, classifier.Wrap(classifier.CodeUnavailable, kind, ctx.Err())
+		}
+	}
+}
+
+// look runs one step of a watch; only its first step counts as a call.
+func (p *Platform) look(ctx context.Context, kind string, first bool, step func() error) error {
+	if first {
+		return p.run(ctx, Operation{Method: "watch", Kind: kind}, step)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.fault != nil && p.fault(Operation{Method: "watch", Kind: kind}).Refuse {
+		return classifier.New(classifier.CodeUnavailable, kind, "platform is down")
+	}
+	return step()
+}
+
+func (p *Platform) run(ctx context.Context, operation Operation, effect func() error) error {
+	subject := operation.Kind + "/" + operation.Name
+	fault := p.count(operation)
+	if fault.Delay > 0 {
+		timer := time.NewTimer(fault.Delay.Duration())
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return classifier.Wrap(classifier.CodeUnavailable, subject, ctx.Err())
+		}
+	}
+	if fault.Refuse {
+		return classifier.New(classifier.CodeUnavailable, subject, "platform is down")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	err := effect()
+	if fault.Lose {
+		return classifier.New(classifier.CodeUnavailable, subject, "the answer was lost")
+	}
+	return err
+}
+
+func (p *Platform) count(operation Operation) Fault {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.calls[operation.Method]++
+	if p.fault == nil {
+		return Fault{}
+	}
+	return p.fault(operation)
+}
+
+func (p *Platform) check(kind, name string, revision uint64) error {
+	current := uint64(0)
+	if found, ok := p.objects[kind][name]; ok && !found.Deleted {
+		current = found.Revision
+	}
+	if current != revision {
+		return classifier.New(classifier.CodeConflict, kind+"/"+name, "revision is %d, not %d", current, revision)
+	}
+	return nil
+}
+
+func (p *Platform) store(object connector.Object) uint64 {
+	p.revision++
+	object.Revision = p.revision
+	if p.objects[object.Kind] == nil {
+		p.objects[object.Kind] = make(map[string]connector.Object)
+	}
+	p.objects[object.Kind][object.Name] = object
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.revision
+}
+
+func (p *Platform) since(kind string, after uint64, deleted bool) connector.Snapshot {
+	snapshot := connector.Snapshot{Revision: p.revision, Objects: []connector.Object{}}
+	for _, object := range p.objects[kind] {
+		if object.Revision > after && (deleted || !object.Deleted) {
+			snapshot.Objects = append(snapshot.Objects, object)
+		}
+	}
+	sort.Slice(snapshot.Objects, func(i, j int) bool {
+		return snapshot.Objects[i].Revision < snapshot.Objects[j].Revision
+	})
+	return snapshot
+}
