--- /dev/null
+++ b/internal/faker/network.go
@@ -0,0 +1,156 @@
+package faker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Network dials between data centres on loopback with delay, loss, cuts and paused members.
+type Network struct {
+	options NetworkOptions
+	mutex   sync.Mutex
+	zones   map[string]string   // data centre of an address
+	owners  map[string]string   // member behind an address
+	cuts    map[string]struct{} // data centres that reach no other one
+	paused  map[string]struct{} // members that neither send nor receive
+	changed chan struct{}       // closed when cuts or paused change
+	random  *rand.Rand
+	within  atomic.Int64
+	between atomic.Int64
+}
+
+// NetworkOptions are the properties of links between data centres.
+type NetworkOptions struct {
+	Delay  timekeeper.Millis // one way
+	Jitter timekeeper.Millis // added at random, up to this much
+	Loss   float64           // share of writes that arrive a retransmission timeout late
+	Seed   uint64
+}
+
+// retransmission is the time by which TCP delivers a lost segment late.
+const retransmission timekeeper.Millis = 200
+
+// NewNetwork returns a network without members.
+func NewNetwork(options NetworkOptions) *Network {
+	return &Network{
+		options: options,
+		zones:   make(map[string]string),
+		owners:  make(map[string]string),
+		cuts:    make(map[string]struct{}),
+		paused:  make(map[string]struct{}),
+		changed: make(chan struct{}),
+		random:  rand.New(rand.NewPCG(options.Seed, 1)),
+	}
+}
+
+// Register tells the data centre and the member behind an address.
+func (n *Network) Register(address, zone, member string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.zones[address], n.owners[address] = zone, member
+}
+
+// Cut separates a data centre from the others, or joins it again.
+func (n *Network) Cut(zone string, cut bool) {
+	n.change(n.cuts, zone, cut)
+}
+
+// Pause stops a member's traffic, or resumes it.
+func (n *Network) Pause(member string, pause bool) {
+	n.change(n.paused, member, pause)
+}
+
+// Within returns the bytes sent so far inside data centres.
+func (n *Network) Within() int64 { return n.within.Load() }
+
+// Between returns the bytes sent so far between data centres.
+func (n *Network) Between() int64 { return n.between.Load() }
+
+// Dialer returns the dial function of a member.
+func (n *Network) Dialer(zone, member string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.mutex.Lock()
+		route := route{fromZone: zone, fromMember: member, toZone: n.zones[address], toMember: n.owners[address]}
+		n.mutex.Unlock()
+		if err := n.wait(ctx.Done(), route); err != nil {
+			return nil, err
+		}
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(conn, n, route), nil
+	}
+}
+
+func (n *Network) change(set map[string]struct{}, key string, add bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if add {
+		set[key] = struct{}{}
+	} else {
+		delete(set, key)
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// wait blocks while the route carries nothing. It returns net.ErrClosed when done is closed first.
+func (n *Network) wait(done <-chan struct{}, r route) error {
+	for {
+		blocked, changed := n.blocked(r)
+		if !blocked {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return net.ErrClosed
+		}
+	}
+}
+
+func (n *Network) blocked(r route) (bool, <-chan struct{}) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if _, ok := n.paused[r.fromMember]; ok {
+		return true, n.changed
+	}
+	if _, ok := n.paused[r.toMember]; ok {
+		return true, n.changed
+	}
+	if r.local() {
+		return false, n.changed
+	}
+	_, from := n.cuts[r.fromZone]
+	_, to := n.cuts[r.toZone]
+	return from || to, n.changed
+}
+
+// latency draws the one-way delay of the next write on a route between data centres.
+func (n *Network) latency() timekeeper.Millis {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delay := n.options.Delay
+	if n.options.Jitter > 0 {
+		delay += timekeeper.Millis(n.random.Int64N(int64(n.options.Jitter)))
+	}
+	if n.random.Float64() < n.options.Loss {
+		delay += retransmission
+	}
+	return delay
+}
+
+func (n *Network) count(r route, bytes int) {
+	if r.local() {
+		n.within.Add(int64(bytes))
+		return
+	}
+	n.between.Add(int64(bytes))
+}
