Add the compiler, publisher and auditor with their public interfaces

Cause: the node cannot be assembled without compilation, publication and an audit trail. Ruled out: writing refusals only to the status object, because a second publisher could accept the same set after its refusal was reported; the head's conditional update is therefore the commit point of refusals too. Change: compiler (sources, parameters, Compile, sections, manifest, Delta and Apply, Diff), publisher (Resolve, publication cycle as a state machine, Submit, Publish, Run with lease and garbage collection, Check), auditor, backoff with full jitter in connector, examples for both tenants with golden views. Before: types only.

--- /dev/null
+++ b/internal/auditor/entry.go
@@ -0,0 +1,19 @@
+// Package auditor keeps the audit trail of administration on the platform.
+package auditor
+
+import (
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Entry is one audited event. From and To are configuration versions or revisions, depending on Action.
+type Entry struct {
+	Time    timekeeper.Millis `json:"time"`
+	Actor   string            `json:"actor"`
+	Action  string            `json:"action"`
+	Subject string            `json:"subject"`
+	From    uint64            `json:"from,omitempty"`
+	To      uint64            `json:"to,omitempty"`
+	Code    classifier.Code   `json:"code"`
+	Reason  string            `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/internal/compiler/decode.go
@@ -0,0 +1,139 @@
+package compiler
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+// Markers replace the braces of ${name} before the YAML is parsed, since a plain scalar inside a flow
+// mapping may not hold braces. Both are private-use characters, and sources that hold them are refused.
+const (
+	openMarker  = "\uE000"
+	closeMarker = "\uE001"
+)
+
+// maxDepth bounds the nesting of a source, since the parser recurses.
+const maxDepth = 32
+
+var referencePattern = regexp.MustCompile(`\$\{([a-z0-9-]+)\}`)
+
+// decodeTree parses a source into maps, lists and scalars.
+func decodeTree(source Source) (map[string]any, *Problem) {
+	refuse := func(code classifier.Code, format string, arguments ...any) (map[string]any, *Problem) {
+		return nil, &Problem{Object: source.Name, Code: code, Reason: fmt.Sprintf(format, arguments...)}
+	}
+	if len(source.Value) > MaxSourceBytes {
+		return refuse(classifier.CodeSourceTooLarge, "source has %d bytes, the limit is %d",
+			len(source.Value), MaxSourceBytes)
+	}
+	text := string(source.Value)
+	if strings.Contains(text, openMarker) || strings.Contains(text, closeMarker) {
+		return refuse(classifier.CodeSourceDecode, "source contains a reserved character")
+	}
+	text = referencePattern.ReplaceAllString(text, openMarker+"$1"+closeMarker)
+	if err := checkTokens(text); err != nil {
+		return refuse(classifier.CodeSourceDecode, "%v", err)
+	}
+	var tree map[string]any
+	if err := yaml.Unmarshal([]byte(text), &tree); err != nil {
+		return refuse(classifier.CodeSourceDecode, "%s", restore(firstLine(err.Error())))
+	}
+	if err := checkKeys(tree); err != nil {
+		return refuse(classifier.CodeSourceDecode, "%v", err)
+	}
+	return tree, nil
+}
+
+// checkTokens refuses aliases, which can expand a short source without bound, several documents and deep nesting.
+func checkTokens(text string) error {
+	depth := 0
+	for i, item := range lexer.Tokenize(text) {
+		switch item.Type {
+		case token.AnchorType, token.AliasType, token.MergeKeyType, token.TagType:
+			return fmt.Errorf("line %d: anchors, aliases and tags are not allowed", item.Position.Line)
+		case token.DocumentHeaderType, token.DocumentEndType:
+			if i > 0 {
+				return fmt.Errorf("line %d: a source is one document", item.Position.Line)
+			}
+		case token.MappingStartType, token.SequenceStartType:
+			depth++
+		case token.MappingEndType, token.SequenceEndType:
+			depth--
+		}
+		if depth > maxDepth || item.Position.IndentNum > 8*maxDepth {
+			return fmt.Errorf("line %d: nested deeper than %d levels", item.Position.Line, maxDepth)
+		}
+	}
+	return nil
+}
+
+// checkKeys refuses keys with capitals, which encoding/json would match to fields of another case.
+func checkKeys(node any) error {
+	switch node := node.(type) {
+	case map[string]any:
+		for key, value := range node {
+			if key != strings.ToLower(key) {
+				return fmt.Errorf("key %q is not in lower case", key)
+			}
+			if err := checkKeys(value); err != nil {
+				return err
+			}
+		}
+	case []any:
+		for _, value := range node {
+			if err := checkKeys(value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// decodeStrict converts a tree to a struct and refuses unknown fields.
+func decodeStrict(object, prefix string, tree, target any) *Problem {
+	content, err := json.Marshal(tree)
+	if err != nil {
+		return &Problem{Object: object, Field: prefix, Reason: err.Error(), Code: classifier.CodeSourceDecode}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	err = decoder.Decode(target)
+	if err == nil {
+		return nil
+	}
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		reason := fmt.Sprintf("%s is not of type %s", mismatch.Value, mismatch.Type)
+		return &Problem{
+			Object: object, Field: join(prefix, mismatch.Field), Reason: reason, Code: classifier.CodeSourceDecode,
+		}
+	}
+	field := ""
+	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		field = strings.Trim(name, `"`)
+	}
+	return &Problem{
+		Object: object, Field: join(prefix, field), Reason: strings.TrimPrefix(err.Error(), "json: "),
+		Code: classifier.CodeSourceDecode,
+	}
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
+
+// restore shows markers as the author wrote them.
+func restore(text string) string {
+	return strings.NewReplacer(openMarker, "${", closeMarker, "}").Replace(text)
+}
--- /dev/null
+++ b/internal/compiler/examples_test.go
@@ -0,0 +1,59 @@
+package compiler
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func readExamples(t testing.TB, tenant string) []Source {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join("..", "..", "examples", tenant, "*.yaml"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no examples for %s: %v", tenant, err)
+	}
+	sources := make([]Source, 0, len(paths))
+	for _, path := range paths {
+		value, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sources = append(sources, Source{Name: strings.TrimSuffix(filepath.Base(path), ".yaml"), Value: value})
+	}
+	return sources
+}
+
+// Guards against example sources that no longer compile, and against an unnoticed change of what they compile to,
+// which would change the digests of every deployed configuration.
+func TestExamplesCompileToGoldenViews(t *testing.T) {
+	for _, tenant := range []string{"ochre", "wick"} {
+		view, problems := Compile(readExamples(t, tenant))
+		if diff := cmp.Diff([]Problem(nil), problems); diff != "" {
+			t.Fatalf("%s: problems (-want +got):\n%s", tenant, diff)
+		}
+		got, err := json.MarshalIndent(view, "", "  ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden := filepath.Join("testdata", tenant+".json")
+		if *update {
+			if err := os.WriteFile(golden, append(got, '\n'), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want, err := os.ReadFile(golden)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(string(want), string(got)+"\n"); diff != "" {
+			t.Errorf("%s: view differs (-want +got):\n%s", tenant, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/compiler/validate.go
@@ -0,0 +1,68 @@
+package compiler
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?(\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?)*$`)
+	checker     = newChecker()
+)
+
+func newChecker() *validator.Validate {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	register(check, "name", func(text string) bool { return namePattern.MatchString(text) })
+	register(check, "host", func(text string) bool { return len(text) <= 253 && hostPattern.MatchString(text) })
+	register(check, "path", func(text string) bool { return !strings.ContainsAny(text, "?#% \t\r\n") })
+	return check
+}
+
+func register(check *validator.Validate, tag string, accept func(string) bool) {
+	// Registration fails only for an empty tag or function.
+	_ = check.RegisterValidation(tag, func(level validator.FieldLevel) bool { return accept(level.Field().String()) })
+}
+
+// checkFields returns the problems of one decoded struct. Paths are below prefix.
+func checkFields(object, prefix string, value any) []Problem {
+	var failures validator.ValidationErrors
+	if !errors.As(checker.Struct(value), &failures) {
+		return nil
+	}
+	problems := make([]Problem, 0, len(failures))
+	for _, failure := range failures {
+		_, path, _ := strings.Cut(failure.Namespace(), ".")
+		problems = append(problems, Problem{
+			Object: object, Field: join(prefix, path), Code: classifier.CodeSourceInvalid,
+			Reason: describe(failure),
+		})
+	}
+	return problems
+}
+
+func describe(failure validator.FieldError) string {
+	rule := failure.Tag()
+	if failure.Param() != "" {
+		rule += "=" + failure.Param()
+	}
+	return fmt.Sprintf("value %v does not satisfy %q", failure.Value(), rule)
+}
+
+func join(prefix, path string) string {
+	if prefix == "" || path == "" {
+		return prefix + path
+	}
+	return prefix + "." + path
+}
--- /dev/null
+++ b/internal/publisher/commit.go
@@ -0,0 +1,189 @@
+package publisher
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+)
+
+// maxOperations is the number of decided sets that the head keeps after their objects are deleted, so that a
+// submitter whose answers were lost still finds the decision.
+const maxOperations = 64
+
+// versionPrefix starts the names of the objects of kind status that record published versions.
+const versionPrefix = "version."
+
+// versionName returns the name of the record of a version.
+func versionName(version uint64) string {
+	return fmt.Sprintf("%s%d", versionPrefix, version)
+}
+
+// commit builds the next head and writes it on the condition that the head is still the one that was read.
+func (c *cycle) commit() action {
+	next := c.head
+	if c.changed() {
+		next.Format, next.Version = HeadFormat, c.head.Version+1
+		next.Manifest, next.Digest, next.Published = c.next.Manifest, c.next.Digest, c.next.Published
+		next.Author = c.plan.Author
+		next.Base, next.Delta = c.delta(next.Version)
+	}
+	next.SourceRevision = c.snapshot.Revision
+	next.Operations = c.operations(next.Version)
+	c.next = next
+	body, err := next.Encode()
+	if err != nil {
+		return finish{err: err}
+	}
+	revision := c.revision
+	if c.off.noCondition {
+		revision = c.force
+	}
+	c.phase = phaseCommit
+	return putObject{object: connector.Object{
+		Kind: connector.KindHead, Name: HeadName, Revision: revision, Value: body,
+	}}
+}
+
+// delta returns the delta from the published version, or none if its sections are gone or the delta is too large.
+func (c *cycle) delta(version uint64) (uint64, []byte) {
+	if c.head.Version == 0 {
+		return 0, nil
+	}
+	bodies := make(map[string][]byte, len(c.head.Manifest))
+	for _, entry := range c.head.Manifest {
+		if body := c.bodies[entry.Digest]; body != nil {
+			bodies[entry.Digest] = body
+		} else if body := c.store.get(entry.Digest); body != nil {
+			bodies[entry.Digest] = body
+		}
+	}
+	base, err := compiler.Assemble(c.head.Version, c.head.Manifest, bodies)
+	if err != nil {
+		return 0, nil
+	}
+	view := c.plan.View
+	view.Version = version
+	encoded, err := compiler.Delta(&base, &view)
+	if err != nil || len(encoded) > maxDeltaBytes {
+		return 0, nil
+	}
+	return c.head.Version, encoded
+}
+
+// operations appends the decisions of this cycle. It keeps the last 64 and all whose set object may still exist,
+// because a set that is gone from the list would be decided again.
+func (c *cycle) operations(version uint64) []Operation {
+	all := append([]Operation(nil), c.head.Operations...)
+	for i := range c.plan.accepted {
+		all = append(all, Operation{ID: c.plan.accepted[i].Operation, Version: version})
+	}
+	for i := range c.plan.refused {
+		if refusal := &c.plan.refused[i]; refusal.Operation != "" {
+			all = append(all, Operation{ID: refusal.Operation, Code: refusal.Code})
+		}
+	}
+	present := make(map[string]bool, len(c.plan.sets))
+	for _, object := range c.plan.sets {
+		present[strings.TrimPrefix(object.Name, SetPrefix)] = true
+	}
+	kept := make([]Operation, 0, len(all))
+	for i, operation := range all {
+		if i >= len(all)-maxOperations || present[operation.ID] {
+			kept = append(kept, operation)
+		}
+	}
+	return kept
+}
+
+// onCommit continues after the head was written. A lost answer is resolved by reading the head.
+func (c *cycle) onCommit(err error, contested bool) action {
+	switch {
+	case err == nil:
+		return c.onCommitted()
+	case contested && c.off.noCondition:
+		c.phase = phaseConfirm
+		return getObject{kind: connector.KindHead, name: HeadName}
+	case contested:
+		return c.restart(err)
+	case classifier.CodeOf(err) == classifier.CodeUnavailable:
+		c.phase = phaseConfirm
+		return getObject{kind: connector.KindHead, name: HeadName}
+	}
+	return finish{err: err}
+}
+
+func (c *cycle) restart(err error) action {
+	c.restarts++
+	if c.restarts > maxRestarts {
+		return finish{err: err}
+	}
+	c.next = Head{}
+	c.phase = phaseList
+	return listKind{kind: connector.KindSource}
+}
+
+// onConfirm decides from the head whether a write whose answer was lost took effect.
+func (c *cycle) onConfirm(object connector.Object, missing bool) action {
+	if c.off.noCondition {
+		c.force = object.Revision
+		return c.commit()
+	}
+	if missing {
+		return c.restart(classifier.New(classifier.CodeUnavailable, HeadName, "the write did not take effect"))
+	}
+	head, err := DecodeHead(object.Value)
+	if err != nil {
+		return finish{err: err}
+	}
+	if head.SourceRevision == c.next.SourceRevision && head.Digest == c.next.Digest && c.decidedAlike(&head) {
+		return c.onCommitted()
+	}
+	return c.restart(classifier.New(classifier.CodeUnavailable, HeadName, "the write did not take effect"))
+}
+
+// decidedAlike reports whether a head holds this cycle's decision on every set of the snapshot.
+func (c *cycle) decidedAlike(head *Head) bool {
+	for _, object := range c.plan.sets {
+		id := strings.TrimPrefix(object.Name, SetPrefix)
+		mine, other := c.next.operation(id), head.operation(id)
+		if mine == nil || other == nil || mine.Code != other.Code {
+			return false
+		}
+	}
+	return true
+}
+
+// onCommitted records the version, then folds.
+func (c *cycle) onCommitted() action {
+	c.committed = true
+	if c.next.Version == c.head.Version {
+		return c.fold()
+	}
+	body, err := (&Head{
+		Format: HeadFormat, Version: c.next.Version, Digest: c.next.Digest, Manifest: c.next.Manifest,
+		SourceRevision: c.next.SourceRevision, Author: c.next.Author, Published: c.next.Published,
+	}).Encode()
+	if err != nil {
+		return c.fold()
+	}
+	c.phase = phaseRecord
+	return putObject{object: connector.Object{
+		Kind: connector.KindStatus, Name: versionName(c.next.Version), Value: body,
+	}}
+}
+
+// fold writes accepted edits into their sources, then deletes the decided sets, one call at a time.
+func (c *cycle) fold() action {
+	if len(c.folds) > 0 {
+		c.phase = phaseFold
+		return putObject{object: c.folds[0]}
+	}
+	if len(c.sets) > 0 {
+		c.phase = phaseDelete
+		return deleteObject{object: c.sets[0]}
+	}
+	return finish{}
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,172 @@
+package publisher
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Recorder takes audit entries without waiting; auditor.Auditor implements it.
+type Recorder interface {
+	Record(ctx context.Context, entry auditor.Entry)
+}
+
+// Options are the parts of a Publisher. Log, Audit and Prune may be nil.
+type Options struct {
+	Platform connector.Platform
+	Clock    timekeeper.Clock
+	Random   *rand.Rand
+	Log      *zap.Logger
+	Audit    Recorder
+	Node     string                      // name of this node, unique among publishers; the lease holds it
+	Prune    func(context.Context) error // called about hourly by the lease holder
+}
+
+// Publisher publishes versions. Any number of nodes may publish at the same time.
+type Publisher struct {
+	options Options
+	turn    chan struct{} // held during a cycle; guards store, off and resolved
+	store   *store
+	off     mechanisms
+	lease   *lease
+	random  chan *rand.Rand
+}
+
+// New returns a publisher.
+func New(options Options) *Publisher {
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	p := &Publisher{
+		options: options, turn: make(chan struct{}, 1), store: newStore(), lease: newLease(options.Node),
+		random: make(chan *rand.Rand, 1),
+	}
+	p.random <- options.Random
+	return p
+}
+
+// backoff returns a backoff with a random source of its own, since callers run at the same time.
+func (p *Publisher) backoff() *connector.Backoff {
+	random := <-p.random
+	seed := random.Uint64()
+	p.random <- random
+	return connector.NewBackoff(connector.BackoffBase, connector.BackoffCap, rand.New(rand.NewPCG(seed, 0)))
+}
+
+// Publish runs the publication steps once. It returns nil when the platform holds no undecided sets and no unpublished
+// sources as of its start; refused sources are not an error of Publish.
+func (p *Publisher) Publish(ctx context.Context) error {
+	_, err := p.publish(ctx)
+	return err
+}
+
+// publish runs one cycle and returns the source revision up to which the head is known to be resolved.
+func (p *Publisher) publish(ctx context.Context) (uint64, error) {
+	select {
+	case p.turn <- struct{}{}:
+	case <-ctx.Done():
+		return 0, classifier.Wrap(classifier.CodeUnavailable, "publication", ctx.Err())
+	}
+	defer func() { <-p.turn }()
+	c := newCycle(p.store, p.off)
+	var reply event = begun{}
+	for {
+		wanted := c.step(p.options.Clock.Now(), reply)
+		if end, ok := wanted.(finish); ok {
+			p.report(ctx, c)
+			return c.resolved, end.err
+		}
+		reply = perform(ctx, p.options.Platform, wanted)
+	}
+}
+
+// report logs and audits the decisions of a cycle.
+func (p *Publisher) report(ctx context.Context, c *cycle) {
+	if c.committed && c.next.Version != c.head.Version {
+		p.options.Log.Info("publisher: version published", zap.Uint64("version", c.next.Version),
+			zap.String("digest", c.next.Digest), zap.Int("delta", len(c.next.Delta)))
+	}
+	if c.committed {
+		for i := range c.plan.accepted {
+			set := &c.plan.accepted[i]
+			p.record(ctx, auditor.Entry{
+				Actor: set.Author, Action: "accept", Subject: SetPrefix + set.Operation, Reason: editNames(set),
+				From: c.head.Version, To: c.next.Version,
+			})
+		}
+	}
+	if !c.committed && c.head.Version > 0 {
+		return
+	}
+	for i := range c.plan.refused {
+		refusal := &c.plan.refused[i]
+		if refusal.Time == 0 {
+			continue // not written to the status
+		}
+		p.options.Log.Warn("publisher: refused", zap.String("operation", refusal.Operation),
+			zap.Int("code", int(refusal.Code)), zap.String("subject", refusal.Subject),
+			zap.String("field", refusal.Field), zap.String("reason", refusal.Reason))
+		p.record(ctx, auditor.Entry{
+			Actor: refusal.Author, Action: "refuse", Subject: refusal.Subject, Code: refusal.Code,
+			Reason: refusal.Operation + " " + refusal.Field + ": " + refusal.Reason, From: c.head.Version, To: c.head.Version,
+		})
+	}
+}
+
+func (p *Publisher) record(ctx context.Context, entry auditor.Entry) {
+	if p.options.Audit == nil {
+		return
+	}
+	if entry.Actor == "" {
+		entry.Actor = p.options.Node
+	}
+	entry.Time = p.options.Clock.Now()
+	p.options.Audit.Record(ctx, entry)
+}
+
+func editNames(set *Set) string {
+	text := ""
+	for i := range set.Edits {
+		if i > 0 {
+			text += " "
+		}
+		text += set.Edits[i].Name
+	}
+	return text
+}
+
+// Sources returns the sources with all accepted sets in place. Deleted sources are left out.
+func (p *Publisher) Sources(ctx context.Context) ([]compiler.Source, error) {
+	snapshot, err := p.options.Platform.List(ctx, connector.KindSource)
+	if err != nil {
+		return nil, err
+	}
+	head, err := p.Head(ctx)
+	if err != nil && classifier.CodeOf(err) != classifier.CodeObjectMissing {
+		return nil, err
+	}
+	accepted := make([]connector.Object, 0, len(snapshot.Objects))
+	for _, object := range snapshot.Objects {
+		set, ok := cutSet(object.Name)
+		if decided := head.operation(set); !ok || (decided != nil && decided.Code == classifier.CodeOK) {
+			accepted = append(accepted, object)
+		}
+	}
+	return Resolve(connector.Snapshot{Revision: snapshot.Revision, Objects: accepted}, head.Operations).Sources, nil
+}
+
+// Head returns the published head, or CodeObjectMissing before the first version.
+func (p *Publisher) Head(ctx context.Context) (Head, error) {
+	object, err := p.options.Platform.Get(ctx, connector.KindHead, HeadName)
+	if err != nil {
+		return Head{}, err
+	}
+	return DecodeHead(object.Value)
+}
--- /dev/null
+++ b/internal/publisher/submit_test.go
@@ -0,0 +1,144 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+const testTemplate = `
+template: shop
+parameters:
+  - {name: slots, type: int, default: 6, min: 1, max: 100}
+ranks:
+  - {name: urgent, order: 1, target: 200, worth: 100, share: 50}
+services:
+  - {name: desk, zones: [east, west], slots: ${slots}, connections: 130}
+calls:
+  - {name: order, service: desk, method: POST, path: /order, rank: urgent, idempotent: false, timeout: 1000}
+`
+
+func testAccount(name, values string) string {
+	return "account: " + name + "\ntemplate: shop\nhost: " + name + ".example\nvalues: {" + values + "}\n"
+}
+
+type trail struct{ entries []auditor.Entry }
+
+func (t *trail) Record(_ context.Context, entry auditor.Entry) { t.entries = append(t.entries, entry) }
+
+func testPublisher(platform connector.Platform, node string) (*Publisher, *trail) {
+	audit := &trail{}
+	return New(Options{
+		Platform: platform, Clock: timekeeper.Manual(1000).Clock(), Random: rand.New(rand.NewPCG(1, 2)), Node: node,
+		Audit: audit,
+	}), audit
+}
+
+func submit(t *testing.T, p *Publisher, operation string, edits ...Edit) (Result, error) {
+	t.Helper()
+	return p.Submit(t.Context(), Set{Operation: operation, Author: "tester", Edits: edits})
+}
+
+func mustSubmit(t *testing.T, p *Publisher, operation string, edits ...Edit) Result {
+	t.Helper()
+	result, err := submit(t, p, operation, edits...)
+	if err != nil {
+		t.Fatalf("%s: %v", operation, err)
+	}
+	return result
+}
+
+func baseOf(t *testing.T, p *Publisher, name string) uint64 {
+	t.Helper()
+	sources, err := p.Sources(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, source := range sources {
+		if source.Name == name {
+			return source.Revision
+		}
+	}
+	t.Fatalf("source %s does not exist", name)
+	return 0
+}
+
+// Guards against an apply that is reported accepted without being published, folded and audited.
+func TestSubmitPublishesAndFolds(t *testing.T) {
+	platform := faker.NewPlatform()
+	p, audit := testPublisher(platform, "node-1")
+	first := mustSubmit(t, p, "op-1", Edit{Name: "template.shop", Value: testTemplate},
+		Edit{Name: "account.a", Value: testAccount("a", "slots: 3")})
+	second := mustSubmit(t, p, "op-2",
+		Edit{Name: "account.a", Value: testAccount("a", "slots: 4"), Base: baseOf(t, p, "account.a")})
+	if first.Version != 1 || second.Version != 2 {
+		t.Fatalf("versions are %d and %d, not 1 and 2", first.Version, second.Version)
+	}
+	if _, err := submit(t, p, "op-3", Edit{Name: "account.b", Value: testAccount("b", "slots: 9")}); err == nil {
+		t.Fatal("a service that differs between accounts was accepted")
+	}
+	audit.entries = audit.entries[:2]
+	view, err := p.Version(t.Context(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if view.Service("desk").Slots != 4 || view.Digest != second.Digest {
+		t.Fatalf("unexpected view %+v", view)
+	}
+	snapshot, err := platform.List(t.Context(), connector.KindSource)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, object := range snapshot.Objects {
+		if strings.HasPrefix(object.Name, SetPrefix) {
+			t.Errorf("set %s was not folded", object.Name)
+		}
+	}
+	want := []auditor.Entry{
+		{
+			Time: 1000, Actor: "tester", Action: "accept", Subject: "set.op-1", To: 1,
+			Reason: "template.shop account.a",
+		},
+		{Time: 1000, Actor: "tester", Action: "accept", Subject: "set.op-2", From: 1, To: 2, Reason: "account.a"},
+	}
+	if diff := cmp.Diff(want, audit.entries); diff != "" {
+		t.Errorf("audit differs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a lost update when two operators edit the same revision: exactly one may win, and the other must
+// learn both revisions and the fields that differ.
+func TestRacingOperatorsGetOneWinner(t *testing.T) {
+	platform := faker.NewPlatform()
+	p, _ := testPublisher(platform, "node-1")
+	q, _ := testPublisher(platform, "node-2")
+	mustSubmit(t, p, "op-1", Edit{Name: "template.shop", Value: testTemplate},
+		Edit{Name: "account.a", Value: testAccount("a", "slots: 3")})
+	base := baseOf(t, p, "account.a")
+	edit := func(values string) Edit {
+		return Edit{Name: "account.a", Value: testAccount("a", values), Base: base}
+	}
+	mustSubmit(t, p, "op-2", edit("slots: 4"))
+	_, err := submit(t, q, "op-3", edit("slots: 5"))
+	var refused *RefusedError
+	if !errors.As(err, &refused) || classifier.CodeOf(err) != classifier.CodeEditConflict {
+		t.Fatalf("unexpected error %v", err)
+	}
+	conflict := refused.Refusal.Conflicts[0]
+	if conflict.Base != base || conflict.Current != baseOf(t, p, "account.a") {
+		t.Errorf("conflict names revisions %d and %d", conflict.Base, conflict.Current)
+	}
+	if len(conflict.Differences) != 1 || conflict.Differences[0].Path != "values.slots" {
+		t.Errorf("unexpected differences %+v", conflict.Differences)
+	}
+}
