deduplicator, isolator, retrier: add the decision logic and its public interface

Cause: the host and entry nodes need at-most-once claims, crash marks and retry decisions to be assembled. Ruled out: owners taken from the members of the moment. Two hosts with different member tables can then win two disjoint quorums, so owners follow the members at the birth of an id, and an owner refuses a claim whose owner set differs from its own. Change: owner store, host table, claim counting, coordinator, receivers; deaths table with marks; retry decisions with a budget per service.

--- /dev/null
+++ b/internal/deduplicator/host.go
@@ -0,0 +1,121 @@
+package deduplicator
+
+import (
+	"sync/atomic"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// LargestAnswer is the largest encoded answer that a host node keeps, in bytes.
+const LargestAnswer = 64 << 10
+
+// Host is a host node's own memory of the attempts that it saw. Its methods are state machines without I/O.
+type Host struct {
+	table       *table
+	name        string
+	incarnation uint64
+	sequence    atomic.Uint64
+}
+
+// NewHost returns an empty table for a host process, bounded by limit bytes.
+func NewHost(name string, incarnation uint64, limit int, window timekeeper.Millis) *Host {
+	return &Host{table: newTable(limit, LargestAnswer, window), name: name, incarnation: incarnation}
+}
+
+// Begin registers an attempt. It returns the attempt's own claim and true, or the record that stands in its way and
+// false; that record's state is StateNone if there is no room, and StateReleased if the attempt was settled.
+func (h *Host) Begin(now timekeeper.Millis, d ID, r *Request) (Record, bool) {
+	s := h.table.lock(now, d)
+	defer s.mutex.Unlock()
+	e := s.find(d)
+	switch {
+	case e == nil:
+		if e = s.add(d); e == nil {
+			return Record{ID: d}, false
+		}
+	case e.state != StateReleased, clampAttempt(r.Attempt) <= e.attempt:
+		return s.record(e), false
+	}
+	claim := Record{
+		ID: d, State: StateClaimed, Host: h.name, Incarnation: h.incarnation, Sequence: h.sequence.Add(1),
+		Attempt: r.Attempt, Account: r.Account, Call: r.Call,
+	}
+	s.hold(e, &claim)
+	return claim, true
+}
+
+// Release ends a claim whose attempt never started, and reports whether the claim was still held.
+func (h *Host) Release(now timekeeper.Millis, d ID, sequence uint64) bool {
+	s := h.table.lock(now, d)
+	defer s.mutex.Unlock()
+	e := s.find(d)
+	if e == nil || e.state != StateClaimed || e.sequence != sequence {
+		return false
+	}
+	e.state, e.attempt = StateReleased, 0
+	return true
+}
+
+// Complete stores the first answer of a claim, and returns its record without the answer. It reports false if the
+// claim is not held.
+func (h *Host) Complete(now timekeeper.Millis, d ID, sequence uint64, a *Answer) (Record, bool) {
+	s := h.table.lock(now, d)
+	defer s.mutex.Unlock()
+	e := s.find(d)
+	if e == nil || e.state != StateClaimed || e.sequence != sequence {
+		return Record{}, false
+	}
+	r := s.record(e)
+	r.State, r.Status, r.Digest, r.Answer = StateDone, a.Status, a.Digest, a
+	s.finish(e, &r)
+	r.Answer = nil
+	return r, true
+}
+
+// Lookup returns the record of an id; its state is StateNone if there is none.
+func (h *Host) Lookup(now timekeeper.Millis, d ID) Record {
+	s := h.table.lock(now, d)
+	defer s.mutex.Unlock()
+	if e := s.find(d); e != nil {
+		return s.record(e)
+	}
+	return Record{ID: d}
+}
+
+// Settle returns the record of an id for an attempt whose sender lost contact. If the host has not seen the id, or its
+// attempts were all released, attempts up to this number are refused from now on, and the state is StateReleased: the
+// attempt did not run and never will. StateNone means that this could not be recorded.
+func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int) Record {
+	s := h.table.lock(now, d)
+	defer s.mutex.Unlock()
+	e := s.find(d)
+	if e == nil {
+		if s.expired(d) {
+			return Record{ID: d}
+		}
+		if e = s.add(d); e == nil {
+			return Record{ID: d}
+		}
+		e.state = StateReleased
+	}
+	if e.state == StateReleased {
+		e.attempt = max(e.attempt, clampAttempt(attempt))
+	}
+	return s.record(e)
+}
+
+// Certify answers another node that met a claim of this host. The record is in StateReleased if the claim never
+// started and never will.
+func (h *Host) Certify(now timekeeper.Millis, d ID, incarnation, sequence uint64) Record {
+	if incarnation != h.incarnation {
+		return Record{ID: d}
+	}
+	r := h.Lookup(now, d)
+	if r.State == StateClaimed && r.Sequence > sequence {
+		return Record{
+			ID: d, State: StateReleased, Host: h.name, Incarnation: incarnation, Sequence: sequence,
+			Account: r.Account, Call: r.Call,
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/deduplicator/id.go
@@ -0,0 +1,72 @@
+package deduplicator
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// ID is a request id, a UUIDv7. Its first 48 bits are its birth.
+type ID [16]byte
+
+// ParseID decodes the canonical text form of a UUIDv7. Other text is refused with code 205.
+func ParseID(text string) (ID, error) {
+	if d, ok := parse(text); ok {
+		return d, nil
+	}
+	return ID{}, classifier.Refuse(classifier.CodeIDMalformed, "id", "not a UUIDv7 of 36 characters")
+}
+
+// parse decodes an id, and reports whether it is one.
+func parse(text string) (ID, bool) {
+	if len(text) != 36 {
+		return ID{}, false
+	}
+	value, err := uuid.Parse(text)
+	if err != nil || value.Version() != 7 || value.Variant() != uuid.RFC4122 {
+		return ID{}, false
+	}
+	return ID(value), true
+}
+
+// String returns the canonical text form.
+func (d ID) String() string {
+	return uuid.UUID(d).String()
+}
+
+// Birth returns the timestamp in the id, in ms since the Unix epoch by the clock of its creator.
+func (d ID) Birth() timekeeper.Millis {
+	return timekeeper.Millis(binary.BigEndian.Uint64(d[:8]) >> 16)
+}
+
+// Minted reports whether a node created the id. A caller's own id has the mark by chance once in 2^32.
+func (d ID) Minted() bool {
+	return binary.BigEndian.Uint32(d[12:]) == mark(d)
+}
+
+// mark is the check value that the last 32 bits of a minted id hold.
+func mark(d ID) uint32 {
+	return uint32(xxhash.Sum64(d[:12]))
+}
+
+// mintTries bounds the search for an id with a wanted home. With 64 data centres it fails once in 10^14.
+const mintTries = 2048
+
+// Mint creates an id born at now whose home is zone. If zone is not among zones, any home is accepted.
+func Mint(now timekeeper.Millis, random *rand.Rand, zone string, zones []string) ID {
+	var d ID
+	for range mintTries {
+		binary.BigEndian.PutUint64(d[:8], uint64(now)<<16|0x7000|random.Uint64()&0x0fff)
+		binary.BigEndian.PutUint32(d[8:12], 1<<31|random.Uint32()>>2)
+		binary.BigEndian.PutUint32(d[12:], mark(d))
+		if home := Home(d, zones); home == zone || home == "" {
+			break
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/deduplicator/message.go
@@ -0,0 +1,94 @@
+package deduplicator
+
+import "github.com/jasmineproxy/jasmineproxy/internal/classifier"
+
+// Format is the number of the message format.
+const Format = 1
+
+// Verdict is an owner's reply to a claim.
+type Verdict uint8
+
+// Verdicts of an owner.
+const (
+	// VerdictGranted holds the id for the claimant until the end of the memory window.
+	VerdictGranted Verdict = iota + 1
+	// VerdictConflict returns the record of another attempt.
+	VerdictConflict
+	// VerdictUncertain cannot tell whether the id was claimed before.
+	VerdictUncertain
+	// VerdictFull knows that the id has no other claim but has no room to remember one.
+	VerdictFull
+	// VerdictExpired is for an id older than the memory window.
+	VerdictExpired
+	// VerdictFuture is for an id born too far ahead of the owner's clock.
+	VerdictFuture
+)
+
+// ClaimArguments asks an owner to hold an id. Owners is the fingerprint of the owner set that the claimant uses.
+type ClaimArguments struct {
+	Format int    `msgpack:"f"`
+	Owners uint64 `msgpack:"o"`
+	Record Record `msgpack:"r"`
+}
+
+// ClaimReply carries an owner's verdict, and the record in case of a conflict.
+type ClaimReply struct {
+	Format  int     `msgpack:"f"`
+	Verdict Verdict `msgpack:"v"`
+	Record  Record  `msgpack:"r"`
+}
+
+// ReleaseArguments certifies that the attempt of the record never started and never will.
+type ReleaseArguments struct {
+	Format int    `msgpack:"f"`
+	Record Record `msgpack:"r"`
+}
+
+// CompleteArguments carries records to owners: the answer of a finished run, or the records of a leaving owner.
+type CompleteArguments struct {
+	Format  int      `msgpack:"f"`
+	Records []Record `msgpack:"r"`
+}
+
+// LookupArguments asks for the record of an id. Host asks the host node's own table instead of the owner's store;
+// then Incarnation and Sequence name a claim that the host is asked to certify as released if it never started.
+type LookupArguments struct {
+	Format      int    `msgpack:"f"`
+	ID          ID     `msgpack:"i"`
+	Host        bool   `msgpack:"h"`
+	Incarnation uint64 `msgpack:"n"`
+	Sequence    uint64 `msgpack:"q"`
+}
+
+// LookupReply carries the record; its state is StateNone if there is none.
+type LookupReply struct {
+	Format int    `msgpack:"f"`
+	Record Record `msgpack:"r"`
+}
+
+// Empty is a reply without content.
+type Empty struct {
+	Format int `msgpack:"f"`
+}
+
+// checkFormat refuses messages of another format with code 301.
+func checkFormat(format int) error {
+	if format == Format {
+		return nil
+	}
+	return classifier.New(classifier.CodePeerFormat, "deduplicator", "format %d instead of %d", format, Format)
+}
+
+// checkRecord refuses records with fields out of range with code 305.
+func checkRecord(r *Record) error {
+	switch {
+	case r.State > StateDone, len(r.Host) > maxName, len(r.Account) > maxName, len(r.Call) > maxName:
+		return classifier.New(classifier.CodePeerInvalid, "deduplicator", "record field out of range")
+	case r.ID[6]>>4 != 7 || r.ID[8]>>6 != 2:
+		return classifier.New(classifier.CodePeerInvalid, "deduplicator", "id is not a UUIDv7")
+	}
+	return nil
+}
+
+// maxName bounds names in messages, in bytes.
+const maxName = 256
--- /dev/null
+++ b/internal/deduplicator/messages.go
@@ -0,0 +1,106 @@
+package deduplicator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// owners returns the names of the owners of an id of a call, or none if they cannot be told.
+func (v *Service) owners(d ID, account, call string) []string {
+	home := Home(d, v.options.Placement.Zones(account, call).At(d.Birth()))
+	if home == "" {
+		return nil
+	}
+	return Owners(d, v.options.Placement.Owners(home).At(d.Birth()), Replicas)
+}
+
+// collect sends a claim to all owners at once and returns the count when it is decided.
+func (v *Service) collect(ctx context.Context, claim *Record) *claims {
+	owners := v.owners(claim.ID, claim.Account, claim.Call)
+	c := &claims{owners: len(owners), one: v.store.rules.one}
+	arguments := ClaimArguments{Format: Format, Owners: fingerprint(owners), Record: *claim}
+	replies := make(chan ClaimReply, len(owners))
+	for _, name := range owners {
+		go func() {
+			var reply ClaimReply
+			if v.call(ctx, name, "Deduplicator.Claim", &arguments, &reply) != nil {
+				reply = ClaimReply{}
+			}
+			replies <- reply
+		}()
+	}
+	for c.result() == resultPending {
+		reply := <-replies
+		c.add(&reply)
+	}
+	return c
+}
+
+// release tells all owners that the attempt of the record never started. It does so even if the request was canceled.
+func (v *Service) release(ctx context.Context, record *Record) {
+	owners := v.owners(record.ID, record.Account, record.Call)
+	arguments := ReleaseArguments{Format: Format, Record: *record}
+	arguments.Record.State = StateReleased
+	arguments.Record.Answer = nil
+	_ = v.spread(context.WithoutCancel(ctx), owners, "Deduplicator.Release", &arguments)
+}
+
+// complete sends the record of a finished run to all owners.
+func (v *Service) complete(ctx context.Context, record Record) error {
+	owners := v.owners(record.ID, record.Account, record.Call)
+	arguments := CompleteArguments{Format: Format, Records: []Record{record}}
+	return v.spread(context.WithoutCancel(ctx), owners, "Deduplicator.Complete", &arguments)
+}
+
+// spread sends one message to several members at once, waits for all replies and returns the first error.
+func (v *Service) spread(ctx context.Context, names []string, method string, arguments any) error {
+	failures := make([]error, len(names))
+	var group sync.WaitGroup
+	for i, name := range names {
+		group.Go(func() {
+			failures[i] = v.call(ctx, name, method, arguments, &Empty{})
+		})
+	}
+	group.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// call sends a message to a member. A message to this node itself takes no connection.
+func (v *Service) call(ctx context.Context, name, method string, arguments, reply any) error {
+	if name == v.options.Name {
+		return v.local(arguments, reply)
+	}
+	member, found := v.options.Directory.Find(name)
+	if !found || member.Health == tracker.HealthFailed || member.Health == tracker.HealthLeft {
+		return classifier.New(classifier.CodePeerClosed, name, "the member is not listed or has failed")
+	}
+	return v.options.Caller.Call(ctx, member.Peer, method, arguments, reply, v.options.Timeout)
+}
+
+// local passes a message to this node's own receiver.
+func (v *Service) local(arguments, reply any) error {
+	receiver := &Receiver{service: v}
+	switch a := arguments.(type) {
+	case *ClaimArguments:
+		if r, ok := reply.(*ClaimReply); ok {
+			return receiver.Claim(a, r)
+		}
+	case *ReleaseArguments:
+		return receiver.Release(a, &Empty{})
+	case *CompleteArguments:
+		return receiver.Complete(a, &Empty{})
+	case *LookupArguments:
+		if r, ok := reply.(*LookupReply); ok {
+			return receiver.Lookup(a, r)
+		}
+	}
+	return classifier.New(classifier.CodePeerInvalid, v.options.Name, "unknown message %T", arguments)
+}
--- /dev/null
+++ b/internal/deduplicator/placement.go
@@ -0,0 +1,148 @@
+package deduplicator
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// Placement tells where ids are remembered. The answers depend on the birth of an id, so that an id keeps its owners
+// for life.
+type Placement interface {
+	// Zones returns the data centres of the service that runs the call.
+	Zones(account, call string) Schedule
+	// Homes returns the lists of data centres of all services.
+	Homes() []Schedule
+	// Owners returns the names of the members of a data centre.
+	Owners(zone string) Schedule
+}
+
+// Directory is the part of the tracker's directory that is needed here.
+type Directory interface {
+	Zone(name string) []tracker.Member
+	Find(name string) (tracker.Member, bool)
+}
+
+// Observed is a Placement recorded from this node's own directory and view. Nodes that see different members disagree
+// on the owners of an id; an owner then refuses the claim as uncertain.
+type Observed struct {
+	Directory Directory
+	View      func(account, call string) []string // data centres of the call's service in the view in force
+	Lists     func() [][]string                   // distinct lists of data centres of all services in the view
+	Clock     timekeeper.Clock
+	Lead      timekeeper.Millis // how far ahead of its observation a change takes effect
+	Window    timekeeper.Millis
+
+	mutex sync.RWMutex
+	zones map[string]*observation
+	homes map[kind]*observation
+}
+
+// observation is the recorded schedule of one list, and the snapshot that it was last compared with.
+type observation struct {
+	first    *tracker.Member
+	count    int
+	schedule Schedule
+}
+
+// Zones implements Placement.
+func (o *Observed) Zones(account, call string) Schedule {
+	key := kind{account, call}
+	names := o.View(account, call)
+	o.mutex.RLock()
+	seen := o.homes[key]
+	o.mutex.RUnlock()
+	if seen != nil && slices.Equal(names, seen.schedule.Epochs[len(seen.schedule.Epochs)-1].Names) {
+		return seen.schedule
+	}
+	if len(names) == 0 && seen == nil {
+		return Schedule{}
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.homes == nil {
+		o.homes = make(map[kind]*observation)
+	}
+	next := observation{schedule: Schedule{Until: Forever}}
+	if seen := o.homes[key]; seen != nil {
+		next.schedule = seen.schedule
+	}
+	now := o.Clock.Now()
+	next.schedule = next.schedule.Extend(now+o.Lead, now-2*o.Window, names)
+	o.homes[key] = &next
+	return next.schedule
+}
+
+// Homes implements Placement. It returns the lists in the view in force and those recorded for calls.
+func (o *Observed) Homes() []Schedule {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	schedules := make([]Schedule, 0, len(o.homes))
+	for _, seen := range o.homes {
+		schedules = append(schedules, seen.schedule)
+	}
+	if o.Lists != nil {
+		for _, names := range o.Lists() {
+			schedules = append(schedules, Schedule{Epochs: []Epoch{{Names: names}}, Until: Forever})
+		}
+	}
+	return schedules
+}
+
+// Owners implements Placement.
+func (o *Observed) Owners(zone string) Schedule {
+	members := o.Directory.Zone(zone)
+	if len(members) == 0 {
+		return Schedule{}
+	}
+	o.mutex.RLock()
+	seen := o.zones[zone]
+	o.mutex.RUnlock()
+	if seen != nil && seen.first == &members[0] && seen.count == len(members) {
+		return seen.schedule
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.zones == nil {
+		o.zones = make(map[string]*observation)
+	}
+	next := observation{first: &members[0], count: len(members), schedule: Schedule{Until: Forever}}
+	if seen := o.zones[zone]; seen != nil {
+		next.schedule = seen.schedule
+	}
+	now := o.Clock.Now()
+	next.schedule = next.schedule.Extend(o.effect(now, members, next.schedule), now-2*o.Window, namesOf(members))
+	o.zones[zone] = &next
+	return next.schedule
+}
+
+// effect is when a change of members takes effect: for new names a fixed time after their start, which is the same on
+// every node that learns of them in time. Ids born before now+1 keep their owners.
+func (o *Observed) effect(now timekeeper.Millis, members []tracker.Member, schedule Schedule) timekeeper.Millis {
+	if len(schedule.Epochs) == 0 {
+		return 0
+	}
+	known := schedule.Epochs[len(schedule.Epochs)-1].Names
+	from := timekeeper.Millis(0)
+	for i := range members {
+		if _, found := slices.BinarySearch(known, members[i].Name); !found {
+			from = max(from, timekeeper.Millis(members[i].Incarnation)+o.Lead)
+		}
+	}
+	if from == 0 {
+		return now + o.Lead
+	}
+	return min(max(from, now+Skew+1), now+2*o.Lead)
+}
+
+// namesOf returns the sorted names of members.
+func namesOf(members []tracker.Member) []string {
+	names := make([]string, 0, len(members))
+	for i := range members {
+		names = append(names, members[i].Name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/deduplicator/receiver.go
@@ -0,0 +1,81 @@
+package deduplicator
+
+import (
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Receiver serves the messages of other nodes. Register it with the messenger as "Deduplicator".
+type Receiver struct {
+	service *Service
+}
+
+// Receiver returns the net/rpc receiver of this node.
+func (v *Service) Receiver() any {
+	return &Receiver{service: v}
+}
+
+// Claim holds an id for a host node if this owner can tell that nobody else claimed it.
+func (c *Receiver) Claim(arguments *ClaimArguments, reply *ClaimReply) error {
+	if err := check(arguments.Format, &arguments.Record); err != nil {
+		return err
+	}
+	v, r := c.service, &arguments.Record
+	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners
+	since := timekeeper.Millis(0)
+	if v.options.Since != nil {
+		since = v.options.Since()
+	}
+	*reply = v.store.Claim(v.options.Clock.Now(), since, agreed, r)
+	reply.Format = Format
+	return nil
+}
+
+// Release frees the claim of an attempt that never started.
+func (c *Receiver) Release(arguments *ReleaseArguments, reply *Empty) error {
+	if err := check(arguments.Format, &arguments.Record); err != nil {
+		return err
+	}
+	c.service.store.Release(c.service.options.Clock.Now(), &arguments.Record)
+	reply.Format = Format
+	return nil
+}
+
+// Complete stores records of finished runs and records that a leaving owner hands over.
+func (c *Receiver) Complete(arguments *CompleteArguments, reply *Empty) error {
+	if len(arguments.Records) > largestBatch {
+		return classifier.New(classifier.CodePeerInvalid, "deduplicator", "%d records", len(arguments.Records))
+	}
+	for i := range arguments.Records {
+		if err := check(arguments.Format, &arguments.Records[i]); err != nil {
+			return err
+		}
+	}
+	c.service.store.Complete(c.service.options.Clock.Now(), arguments.Records)
+	reply.Format = Format
+	return nil
+}
+
+// Lookup returns the record of an id as an owner, or as the host of a claim.
+func (c *Receiver) Lookup(arguments *LookupArguments, reply *LookupReply) error {
+	if err := checkFormat(arguments.Format); err != nil {
+		return err
+	}
+	v := c.service
+	now := v.options.Clock.Now()
+	reply.Format = Format
+	if arguments.Host {
+		reply.Record = v.host.Certify(now, arguments.ID, arguments.Incarnation, arguments.Sequence)
+		return nil
+	}
+	reply.Record = v.store.Lookup(now, arguments.ID)
+	return nil
+}
+
+// check refuses a message with an unknown format or a record out of range.
+func check(format int, r *Record) error {
+	if err := checkFormat(format); err != nil {
+		return err
+	}
+	return checkRecord(r)
+}
--- /dev/null
+++ b/internal/deduplicator/schedule.go
@@ -0,0 +1,56 @@
+package deduplicator
+
+import (
+	"math"
+	"slices"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Epoch lists the names in force for ids born at From or later, until the next epoch.
+type Epoch struct {
+	From  timekeeper.Millis `json:"from"  msgpack:"f"`
+	Names []string          `json:"names" msgpack:"n"`
+}
+
+// Schedule is a history of names by the birth of ids, oldest first. It says nothing of ids born after Until, because
+// an epoch that this node has not seen may apply to them.
+type Schedule struct {
+	Epochs []Epoch           `json:"epochs" msgpack:"e"`
+	Until  timekeeper.Millis `json:"until"  msgpack:"u"`
+}
+
+// Forever is the Until of a schedule whose changes this node itself records.
+const Forever = timekeeper.Millis(math.MaxInt64)
+
+// At returns the names in force for ids born at birth, or nil if the schedule does not cover it.
+func (s Schedule) At(birth timekeeper.Millis) []string {
+	if birth > s.Until {
+		return nil
+	}
+	for i := len(s.Epochs) - 1; i >= 0; i-- {
+		if s.Epochs[i].From <= birth {
+			return s.Epochs[i].Names
+		}
+	}
+	return nil
+}
+
+// Extend returns the schedule with an epoch of the sorted names, in force for ids born at from or later, if they
+// differ from the last epoch's. Epochs that ended before keep are dropped. The receiver is not changed.
+func (s Schedule) Extend(from, keep timekeeper.Millis, names []string) Schedule {
+	last := len(s.Epochs) - 1
+	if last < 0 {
+		return Schedule{Epochs: []Epoch{{Names: names}}, Until: s.Until}
+	}
+	if slices.Equal(s.Epochs[last].Names, names) {
+		return s
+	}
+	first := 0
+	for first < last && s.Epochs[first+1].From < keep {
+		first++
+	}
+	epochs := slices.Clone(s.Epochs[first:])
+	from = max(from, epochs[len(epochs)-1].From+1)
+	return Schedule{Epochs: append(epochs, Epoch{From: from, Names: names}), Until: s.Until}
+}
--- /dev/null
+++ b/internal/deduplicator/service.go
@@ -0,0 +1,220 @@
+package deduplicator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Options sets up a Service. Zero sizes and times select the defaults of the design page.
+type Options struct {
+	Name        string // this node's member name
+	Incarnation uint64 // this node's incarnation in the membership table
+	Zone        string // this node's data centre
+	Clock       timekeeper.Clock
+	Caller      Caller
+	Directory   Directory
+	Placement   Placement
+	// Since returns the time from which this process counts as an owner: when it knew the members of its data centre
+	// and they knew it. 0 means not yet.
+	Since   func() timekeeper.Millis
+	Bytes   int               // memory for records and answers, default 64 MiB
+	Window  timekeeper.Millis // memory window, default 10 min
+	Timeout timekeeper.Millis // per message, default 250 ms
+	Poll    timekeeper.Millis // between two looks at a running attempt, default 20 ms
+}
+
+// Defaults of Options.
+const (
+	defaultBytes   = 64 << 20
+	defaultWindow  = 10 * timekeeper.Minute
+	defaultTimeout = 250 * timekeeper.Millis(1)
+	defaultPoll    = 20 * timekeeper.Millis(1)
+)
+
+// Service is a node's Coordinator and its memory as an owner.
+type Service struct {
+	options Options
+	store   *Store
+	host    *Host
+	random  sync.Pool
+}
+
+var _ Coordinator = (*Service)(nil)
+
+// New returns a service with empty memory. Half of the memory is for records of this node as an owner, half for the
+// attempts that it hosts.
+func New(options Options) *Service {
+	options.Bytes = orDefault(options.Bytes, defaultBytes)
+	options.Window = orDefault(options.Window, defaultWindow)
+	options.Timeout = orDefault(options.Timeout, defaultTimeout)
+	options.Poll = orDefault(options.Poll, defaultPoll)
+	return &Service{
+		options: options,
+		store:   NewStore(options.Bytes/2, options.Window),
+		host:    NewHost(options.Name, options.Incarnation, options.Bytes/2, options.Window),
+		random: sync.Pool{New: func() any {
+			return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		}},
+	}
+}
+
+// orDefault returns value, or other if value is zero.
+func orDefault[T int | timekeeper.Millis](value, other T) T {
+	if value == 0 {
+		return other
+	}
+	return value
+}
+
+// Mint returns a fresh id for a call. Its home is this data centre if the service of the call runs here.
+func (v *Service) Mint(account, call string) string {
+	random, _ := v.random.Get().(*rand.Rand)
+	defer v.random.Put(random)
+	now := v.options.Clock.Now()
+	return Mint(now, random, v.options.Zone, v.options.Placement.Zones(account, call).At(now)).String()
+}
+
+// Claim implements Coordinator.
+func (v *Service) Claim(ctx context.Context, r Request) (Decision, error) {
+	now := v.options.Clock.Now()
+	d, refusal := v.admit(now, r)
+	if refusal != nil {
+		return refusal, nil
+	}
+	claim, held := v.host.Begin(now, d, &r)
+	if !held {
+		return v.standing(r, claim), nil
+	}
+	proceed := Proceed{Until: d.Birth() + v.options.Window - 2*Skew, Sequence: claim.Sequence}
+	if r.Fresh && d.Minted() {
+		return proceed, nil
+	}
+	if d.Minted() && !v.store.rules.unmarked {
+		v.host.Release(now, d, claim.Sequence)
+		return v.recall(ctx, r, d)
+	}
+	c := v.collect(ctx, &claim)
+	if c.result() == resultWon {
+		return proceed, nil
+	}
+	v.host.Release(v.options.Clock.Now(), d, claim.Sequence)
+	v.release(ctx, &claim)
+	if c.conflict.State == StateNone {
+		return Refuse{Error: c.refusal(r.ID)}, ctx.Err()
+	}
+	return v.conflict(ctx, r, c.conflict), nil
+}
+
+// admit refuses ids that are malformed or whose birth is out of range, and requests past their deadline. Another node's
+// clock may be Skew behind or ahead of this one, so an id is surely not accepted anywhere only if it is born twice Skew
+// ahead.
+func (v *Service) admit(now timekeeper.Millis, r Request) (ID, Decision) {
+	d, ok := parse(r.ID)
+	switch birth := d.Birth(); {
+	case !ok:
+		return d, Refuse{classifier.Refuse(classifier.CodeIDMalformed, r.ID, "the id is not a UUIDv7")}
+	case birth > now+2*Skew:
+		return d, Refuse{classifier.Refuse(classifier.CodeIDFuture, r.ID, "born %d ms ahead", birth-now)}
+	case birth > now+Skew:
+		return d, Refuse{classifier.Unknown(classifier.CodeIDFuture, r.ID, "born %d ms ahead", birth-now)}
+	case now-birth > v.options.Window:
+		return d, Refuse{classifier.Unknown(classifier.CodeIDExpired, r.ID, "born %d ms ago", now-birth)}
+	case r.Deadline != 0 && now >= r.Deadline:
+		return d, Refuse{v.notRun(r, classifier.CodeDeadlinePassed, "the deadline passed before the claim")}
+	}
+	return d, nil
+}
+
+// notRun refuses an attempt that did not run. The outcome of an id from a caller is unknown nevertheless, because the
+// caller may have presented it before.
+func (v *Service) notRun(r Request, code classifier.Code, reason string) *classifier.Error {
+	if r.Fresh {
+		return classifier.Refuse(code, r.ID, "%s", reason)
+	}
+	return classifier.Unknown(code, r.ID, "%s", reason)
+}
+
+// standing decides on an attempt for which this host already has a record.
+func (v *Service) standing(r Request, record Record) Decision {
+	switch record.State {
+	case StateNone:
+		return Refuse{Error: v.notRun(r, classifier.CodeMemoryFull, "no room to remember another id")}
+	case StateReleased:
+		return Refuse{Error: v.notRun(r, classifier.CodeIDUncertain, "the attempt was settled as not run")}
+	case StateClaimed, StateDone:
+	}
+	if record.Account != r.Account || record.Call != r.Call {
+		return Refuse{Error: classifier.Unknown(classifier.CodeDuplicateRunning, r.ID, "the id belongs to another call")}
+	}
+	if record.State == StateClaimed {
+		return Wait{Record: record, After: v.options.Poll}
+	}
+	return replay(record)
+}
+
+// replay answers with the first answer, or with "unknown" if the answer is not kept. Status 0 marks a run that ended
+// without a complete answer.
+func replay(record Record) Decision {
+	if record.Status == 0 {
+		return Refuse{Error: unknown(record.ID.String())}
+	}
+	if record.Answer == nil {
+		return Refuse{Error: classifier.Unknown(classifier.CodeAnswerGone, record.ID.String(),
+			"the request ran and its answer is not kept")}
+	}
+	return Replay{Answer: *record.Answer}
+}
+
+// Release implements Coordinator. The request needs the sequence of its Proceed decision.
+func (v *Service) Release(ctx context.Context, r Request) error {
+	d, err := ParseID(r.ID)
+	if err != nil {
+		return err
+	}
+	if !v.host.Release(v.options.Clock.Now(), d, r.Sequence) {
+		return classifier.New(classifier.CodePeerInvalid, r.ID, "no claim with sequence %d is held", r.Sequence)
+	}
+	if r.Fresh && d.Minted() {
+		return nil
+	}
+	record := Record{
+		ID: d, State: StateReleased, Host: v.options.Name, Incarnation: v.options.Incarnation,
+		Sequence: r.Sequence, Attempt: r.Attempt, Account: r.Account, Call: r.Call,
+	}
+	v.release(ctx, &record)
+	return nil
+}
+
+// Complete implements Coordinator. The request needs the sequence of its Proceed decision.
+func (v *Service) Complete(ctx context.Context, r Request, a Answer) error {
+	d, err := ParseID(r.ID)
+	if err != nil {
+		return err
+	}
+	record, held := v.host.Complete(v.options.Clock.Now(), d, r.Sequence, &a)
+	if !held {
+		return classifier.New(classifier.CodePeerInvalid, r.ID, "no claim with sequence %d is held", r.Sequence)
+	}
+	if len(a.Body) <= LargestCopy {
+		record.Answer = &a
+	}
+	return v.complete(ctx, record)
+}
+
+// Settle tells the node that sent an attempt what became of it; see Host.Settle.
+func (v *Service) Settle(id string, attempt int) (Record, error) {
+	d, err := ParseID(id)
+	if err != nil {
+		return Record{}, err
+	}
+	return v.host.Settle(v.options.Clock.Now(), d, attempt), nil
+}
+
+// Bytes is the memory in use by records and answers.
+func (v *Service) Bytes() int {
+	return v.store.Bytes() + v.host.table.bytes()
+}
--- /dev/null
+++ b/internal/isolator/table.go
@@ -0,0 +1,190 @@
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Limits of section 3.10 of the design page.
+const (
+	tableLimit        = 1024
+	idDeaths          = 2
+	fingerprintDeaths = 3
+	callDeaths        = 5
+	callHosts         = 2
+	callFingerprints  = 3
+	idWindow          = 10 * timekeeper.Minute // as long as ids are remembered
+	shortWindow       = 60 * timekeeper.Second // for fingerprints and calls
+	requestSpan       = 60 * timekeeper.Second
+	callSpan          = 30 * timekeeper.Second
+)
+
+// event identifies the death of one upstream.
+type event struct {
+	host        string
+	incarnation uint64
+	number      uint64
+}
+
+// report identifies one suspect of one death.
+type report struct {
+	event event
+	key   Key
+}
+
+// subject is what a mark is for: a Key with only the parts of its scope.
+type subject struct {
+	scope Scope
+	key   Key
+}
+
+// table counts deaths and derives marks. It is a state machine without I/O.
+type table struct {
+	order     []report // oldest first
+	times     map[report]timekeeper.Millis
+	marks     map[subject]Mark
+	unbounded bool // only tests set it
+}
+
+// newTable returns an empty table.
+func newTable() *table {
+	return &table{times: make(map[report]timekeeper.Millis), marks: make(map[subject]Mark)}
+}
+
+// add counts a death that happened age ms before now, and reports whether it was new.
+func (t *table) add(now timekeeper.Millis, d Death) bool {
+	r := report{event{d.Host, d.Incarnation, d.Number}, d.Key}
+	at := now - max(d.Age, 0)
+	if _, known := t.times[r]; known || now-at > idWindow {
+		return false
+	}
+	t.expire(now)
+	t.times[r] = at
+	t.order = append(t.order, r)
+	if len(t.order) > tableLimit && !t.unbounded {
+		delete(t.times, t.order[0])
+		t.order = slices.Delete(t.order, 0, 1)
+	}
+	t.mark(at, d.Key)
+	return true
+}
+
+// expire drops deaths and marks that are too old.
+func (t *table) expire(now timekeeper.Millis) {
+	t.order = slices.DeleteFunc(t.order, func(r report) bool {
+		old := now-t.times[r] > idWindow
+		if old {
+			delete(t.times, r)
+		}
+		return old
+	})
+	maps.DeleteFunc(t.marks, func(_ subject, m Mark) bool { return m.Until <= now })
+}
+
+// mark refuses what the deaths up to the given time call for. Only marks that concern the key can be new.
+func (t *table) mark(at timekeeper.Millis, key Key) {
+	if key.ID != "" {
+		deaths := t.events(at, idWindow, func(k Key) bool { return k.ID == key.ID })
+		t.refuse(ScopeID, Key{ID: key.ID}, len(deaths), idDeaths, at+requestSpan)
+	}
+	deaths := t.events(at, shortWindow, func(k Key) bool { return k.Fingerprint == key.Fingerprint })
+	t.refuse(ScopeFingerprint, Key{Fingerprint: key.Fingerprint}, len(deaths), fingerprintDeaths, at+requestSpan)
+	if t.callSuspect(at, key) {
+		kind := Key{Account: key.Account, Call: key.Call}
+		t.refuse(ScopeCall, kind, callDeaths, callDeaths, at+callSpan)
+	}
+}
+
+// refuse adds or prolongs a mark if there were enough deaths.
+func (t *table) refuse(scope Scope, key Key, deaths, least int, until timekeeper.Millis) {
+	if deaths < least {
+		return
+	}
+	at := subject{scope, key}
+	t.marks[at] = Mark{Scope: scope, Key: key, Deaths: deaths, Until: max(until, t.marks[at].Until)}
+}
+
+// events returns the deaths within the window before at during which a request that matches ran.
+func (t *table) events(at, window timekeeper.Millis, match func(Key) bool) map[event]bool {
+	found := make(map[event]bool)
+	for _, r := range t.order {
+		if age := at - t.times[r]; age <= window && age >= -window && match(r.key) {
+			found[r.event] = true
+		}
+	}
+	return found
+}
+
+// callSuspect reports whether the kind of call of key is to be refused: enough deaths, hosts and fingerprints, and no
+// other kind of call that explains all these deaths and more.
+func (t *table) callSuspect(at timekeeper.Millis, key Key) bool {
+	same := func(k Key) bool { return k.Account == key.Account && k.Call == key.Call }
+	deaths := t.events(at, shortWindow, same)
+	hosts, fingerprints := make(map[string]bool), make(map[uint64]bool)
+	others := make(map[Key]map[event]bool)
+	for _, r := range t.order {
+		if age := at - t.times[r]; age > shortWindow || age < -shortWindow {
+			continue
+		}
+		if same(r.key) {
+			hosts[r.event.host] = true
+			fingerprints[r.key.Fingerprint] = true
+			continue
+		}
+		kind := Key{Account: r.key.Account, Call: r.key.Call}
+		if others[kind] == nil {
+			others[kind] = make(map[event]bool)
+		}
+		others[kind][r.event] = true
+	}
+	if len(deaths) < callDeaths || len(hosts) < callHosts || len(fingerprints) < callFingerprints {
+		return false
+	}
+	for _, other := range others {
+		if len(other) > len(deaths) && covers(other, deaths) {
+			return false
+		}
+	}
+	return true
+}
+
+// covers reports whether all events of part are in whole.
+func covers(whole, part map[event]bool) bool {
+	for e := range part {
+		if !whole[e] {
+			return false
+		}
+	}
+	return true
+}
+
+// list returns the marks in force, in a fixed order.
+func (t *table) list(now timekeeper.Millis) []Mark {
+	t.expire(now)
+	marks := slices.Collect(maps.Values(t.marks))
+	slices.SortFunc(marks, func(a, b Mark) int {
+		return cmp.Or(cmp.Compare(a.Scope, b.Scope), cmp.Compare(a.Key.ID, b.Key.ID),
+			cmp.Compare(a.Key.Account, b.Key.Account), cmp.Compare(a.Key.Call, b.Key.Call),
+			cmp.Compare(a.Key.Fingerprint, b.Key.Fingerprint))
+	})
+	return marks
+}
+
+// recent returns up to limit deaths that are at most span old, newest first, with their present age.
+func (t *table) recent(now, span timekeeper.Millis, limit int) []Death {
+	var deaths []Death
+	for _, r := range slices.Backward(t.order) {
+		if len(deaths) == limit {
+			break
+		}
+		if age := now - t.times[r]; age <= span {
+			deaths = append(deaths, Death{
+				Key: r.key, Host: r.event.host, Incarnation: r.event.incarnation, Number: r.event.number, Age: max(age, 0),
+			})
+		}
+	}
+	return deaths
+}
--- /dev/null
+++ b/internal/retrier/attempt.go
@@ -0,0 +1,86 @@
+// Package retrier decides whether a failed attempt is sent again, within a budget for each service.
+package retrier
+
+import (
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Attempt describes a failed attempt at an entry node. Number counts from 1. Deaths counts the attempts of this
+// request during which the upstream died, this one included. Retried says that the request arrived as part of a retry
+// of another node or caller. Deadline is in ms since the Unix epoch. After is the retry hint of a refusal in ms.
+type Attempt struct {
+	Service    string
+	Number     int
+	Outcome    classifier.Outcome
+	Code       classifier.Code
+	Idempotent bool
+	Retried    bool
+	Deaths     int
+	Deadline   timekeeper.Millis
+	After      timekeeper.Millis
+}
+
+// Reason says why a decision was taken.
+type Reason string
+
+// Reasons of decisions.
+const (
+	ReasonRetry      Reason = "retry"
+	ReasonAnswered   Reason = "answered"
+	ReasonNested     Reason = "part of a retry"
+	ReasonAttempts   Reason = "attempts used up"
+	ReasonMayHaveRun Reason = "may have run"
+	ReasonDeath      Reason = "upstream died twice"
+	ReasonPermanent  Reason = "another attempt would fail too"
+	ReasonDeadline   Reason = "deadline too close"
+	ReasonBudget     Reason = "budget used up"
+)
+
+// Decision tells whether to send the request again, and after how many ms.
+type Decision struct {
+	Retry  bool
+	After  timekeeper.Millis
+	Reason Reason
+}
+
+// maxAttempts is the first attempt and two more.
+const maxAttempts = 3
+
+// deny returns a decision against a retry.
+func deny(reason Reason) Decision {
+	return Decision{Reason: reason}
+}
+
+// Judge decides on an attempt without regard to the budget. It is a pure function.
+func Judge(now timekeeper.Millis, a Attempt) Decision {
+	switch {
+	case a.Outcome == classifier.OutcomeAnswered:
+		return deny(ReasonAnswered)
+	case a.Retried:
+		return deny(ReasonNested)
+	case a.Number >= maxAttempts:
+		return deny(ReasonAttempts)
+	case a.Outcome != classifier.OutcomeNotRun && !a.Idempotent:
+		return deny(ReasonMayHaveRun)
+	case a.Deaths > 1:
+		return deny(ReasonDeath)
+	case permanent(a.Code):
+		return deny(ReasonPermanent)
+	case now+a.After >= a.Deadline:
+		return deny(ReasonDeadline)
+	}
+	return Decision{Retry: true, After: a.After, Reason: ReasonRetry}
+}
+
+// permanent reports whether the code would be the same on any node.
+func permanent(code classifier.Code) bool {
+	switch code {
+	case classifier.CodeUnknownHost, classifier.CodeUnknownCall, classifier.CodeBodyTooLarge,
+		classifier.CodeDeadlinePassed, classifier.CodeIDMalformed, classifier.CodeInternalCall, classifier.CodeTooDeep,
+		classifier.CodeIDFuture, classifier.CodeIDExpired, classifier.CodeIDUncertain, classifier.CodeDuplicateRunning,
+		classifier.CodeIsolated, classifier.CodeCanceled, classifier.CodeAnswerGone:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/retrier/retrier.go
@@ -0,0 +1,54 @@
+package retrier
+
+import (
+	"sync"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Options sets up a Retrier.
+type Options struct {
+	Clock timekeeper.Clock
+}
+
+// Retrier keeps a retry budget for each service. Calls of different services share no lock.
+type Retrier struct {
+	clock     timekeeper.Clock
+	budgets   sync.Map // service name to *budget
+	unlimited bool     // only tests set it
+}
+
+// New returns a retrier with empty budgets.
+func New(options Options) *Retrier {
+	return &Retrier{clock: options.Clock}
+}
+
+// First counts the first attempt of a call to a service.
+func (r *Retrier) First(service string) {
+	r.budget(service).earn(r.clock.Now())
+}
+
+// Decide tells whether a failed attempt is sent again, and takes the retry from the service's budget.
+func (r *Retrier) Decide(a Attempt) Decision {
+	now := r.clock.Now()
+	decision := Judge(now, a)
+	if !decision.Retry || r.unlimited {
+		return decision
+	}
+	if !r.budget(a.Service).spend(now) {
+		return deny(ReasonBudget)
+	}
+	return decision
+}
+
+// budget returns the budget of a service.
+func (r *Retrier) budget(service string) *budget {
+	if found, ok := r.budgets.Load(service); ok {
+		if b, ok := found.(*budget); ok {
+			return b
+		}
+	}
+	found, _ := r.budgets.LoadOrStore(service, &budget{})
+	b, _ := found.(*budget)
+	return b
+}
