Add the request path: router, admitter, forwarder, drainer, prober

Ruled out: streaming request bodies at the entry node, since their bytes go into the fingerprint and may be sent again; they are bounded instead. The retries that net/http makes on its own are ruled out by bodies that cannot be rewound, since they would run a request twice.

Change: matching with an index per view, choice by two random members, admission as a state machine without I/O, the HTTP of both nodes, the drain and probe, and stand-ins for the upstream and the network.

One request over one hop passes in a test.

Conclusion: a first version to assemble a node from.

--- /dev/null
+++ b/internal/forwarder/call.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/router"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// call is one request of a caller at its entry node.
+type call struct {
+	job       job
+	route     router.Route
+	pick      router.Request
+	host      string
+	header    http.Header
+	body      *buffer
+	deadline  timekeeper.Millis
+	inherited bool // the request is part of a retry at an earlier node
+}
+
+// accept matches and validates a request. The call is returned with the error once its id is known.
+func (e *Entry) accept(r *http.Request) (*call, error) {
+	view := e.Views.Active()
+	if view == nil || !e.Views.Ready() {
+		return nil, classifier.Refuse(classifier.CodeNotReady, e.Name, "the node has no confirmed configuration")
+	}
+	route, err := e.matcher.Match(view, r.Host, r.Method, r.URL.Path)
+	if err != nil {
+		return nil, err
+	}
+	now := e.Clock.Now()
+	c := &call{route: route, host: r.Host, header: r.Header}
+	c.job = job{
+		ID: r.Header.Get(headerID), Idempotent: route.Call.Idempotent, Order: route.Rank.Order, Share: route.Rank.Share,
+		Target: route.Rank.Target, Account: route.Account.Name, Call: route.Call.Name, Service: route.Call.Service,
+		Method: r.Method, URI: r.URL.RequestURI(),
+	}
+	c.pick = router.Request{
+		Service: c.job.Service, Account: c.job.Account, Call: c.job.Call, Rank: c.job.Order,
+	}
+	if c.job.ID == "" {
+		c.job.ID, c.job.Fresh = newID(now), true
+	} else if err = checkID(c.job.ID, now); err != nil {
+		return nil, err
+	}
+	if err = e.limit(c, r, now); err != nil {
+		return c, err
+	}
+	return c, e.readBody(c, r)
+}
+
+// limit applies deadline, depth and the rule on internal calls.
+func (e *Entry) limit(c *call, r *http.Request, now timekeeper.Millis) error {
+	if c.route.Call.Internal && (e.Internal == "" || r.Header.Get(headerInternal) != e.Internal) {
+		return classifier.Refuse(classifier.CodeInternalCall, c.job.Call, "the call is open to the tenant's services only")
+	}
+	depth, err := decodeMillis(r.Header, headerDepth, 0)
+	if err != nil {
+		return err
+	}
+	if c.job.Depth = int(depth) + 1; c.job.Depth > maxDepth {
+		return classifier.Refuse(classifier.CodeTooDeep, c.job.Call, "the call chain is deeper than %d", maxDepth)
+	}
+	remaining, err := decodeMillis(r.Header, headerDeadline, c.route.Call.Timeout)
+	if err != nil {
+		return err
+	}
+	if remaining == 0 {
+		return classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "the deadline passed before the call started")
+	}
+	c.deadline = now + min(remaining, c.route.Call.Timeout)
+	c.inherited = r.Header.Get(headerRetry) != ""
+	c.job.Retry = c.inherited
+	return nil
+}
+
+// readBody reads the request body whole: its bytes go into the fingerprint and may be sent again.
+func (e *Entry) readBody(c *call, r *http.Request) error {
+	if r.ContentLength > e.MaxBody {
+		return classifier.Refuse(classifier.CodeBodyTooLarge, c.job.Call, "body has %d bytes, the limit is %d",
+			r.ContentLength, e.MaxBody)
+	}
+	if r.ContentLength != 0 && r.Body != nil {
+		c.body = buffers.get()
+		if err := fill(c.body, r.Body, r.ContentLength, e.MaxBody); err != nil {
+			return classifier.Refuse(classifier.CodeBadRequest, c.job.Call, "body ended early: %v", err)
+		}
+		if int64(len(c.body.bytes)) > e.MaxBody {
+			return classifier.Refuse(classifier.CodeBodyTooLarge, c.job.Call, "body is over the limit of %d bytes", e.MaxBody)
+		}
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(c.job.Method)
+	_, _ = digest.WriteString(c.job.URI)
+	if c.body != nil {
+		_, _ = digest.Write(c.body.bytes)
+	}
+	c.job.Fingerprint = digest.Sum64()
+	return nil
+}
+
+// fill reads all of source into b. A length of -1 is not known, and then up to limit+1 bytes are read.
+func fill(b *buffer, source io.Reader, length, limit int64) error {
+	if length >= 0 {
+		b.grow(int(length))
+		b.bytes = b.bytes[:length]
+		_, err := io.ReadFull(source, b.bytes)
+		return err
+	}
+	for int64(len(b.bytes)) <= limit {
+		b.grow(4 << 10)
+		n, err := source.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// lengthOf returns the value of a Content-Length header.
+func lengthOf(n int) []string {
+	return []string{strconv.Itoa(n)}
+}
--- /dev/null
+++ b/internal/forwarder/headers.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Headers of the request path. All names with the prefix are taken off what callers and upstreams send.
+const (
+	headerPrefix   = "Jasmine-"
+	headerID       = "Jasmine-Id"
+	headerDeadline = "Jasmine-Deadline"
+	headerInternal = "Jasmine-Internal"
+	headerDepth    = "Jasmine-Depth"
+	headerRetry    = "Jasmine-Retry"
+	headerOutcome  = "Jasmine-Outcome"
+	headerCode     = "Jasmine-Code"
+	headerVersion  = "Jasmine-Version"
+	headerLoad     = "Jasmine-Load"
+	headerForward  = "Jasmine-Forward" // entry node to host node: a job
+	headerTarget   = "Jasmine-Target"  // entry node to host node: path and query
+	headerWait     = "Jasmine-Wait"    // host node to entry node: ms after which refused work may be sent again
+	headerLength   = "Jasmine-Length"  // host node to entry node: Content-Length of an answer to HEAD
+	headerLengthIn = "Content-Length"
+	headerAgent    = "User-Agent"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true,
+}
+
+// replayHeaders make net/http send a request again on its own after a broken connection, which would run it twice.
+// Its check looks for the canonical names, so these are sent in lower case, which is the same header on the wire.
+var replayHeaders = map[string]string{
+	"Idempotency-Key": "idempotency-key", "X-Idempotency-Key": "x-idempotency-key",
+}
+
+// passHeaders copies the headers that go from one end to the other. The values are shared, not copied.
+func passHeaders(to, from http.Header) {
+	dropped := from["Connection"]
+	for name, values := range from {
+		if hopHeaders[name] || strings.HasPrefix(name, headerPrefix) || named(dropped, name) {
+			continue
+		}
+		if plain, ok := replayHeaders[name]; ok {
+			name = plain
+		}
+		to[name] = values
+	}
+}
+
+// named reports whether a Connection header names a header.
+func named(connection []string, name string) bool {
+	for _, line := range connection {
+		for word := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(word), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// suppressAgent keeps net/http from adding its own User-Agent.
+func suppressAgent(header http.Header) {
+	if _, ok := header[headerAgent]; !ok {
+		header[headerAgent] = nil
+	}
+}
+
+func encodeLoad(load admitter.Load) string {
+	text := make([]byte, 0, 32)
+	for i, number := range [...]int{load.Running, load.Queued, load.Slots, int(load.Wait)} {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = strconv.AppendInt(text, int64(number), 10)
+	}
+	return string(text)
+}
+
+// decodeLoad reads a Jasmine-Load header; false when it is missing or malformed.
+func decodeLoad(text string) (admitter.Load, bool) {
+	var numbers [4]int
+	rest := text
+	for i := range numbers {
+		word, after, _ := strings.Cut(rest, " ")
+		number, err := strconv.Atoi(word)
+		if err != nil || number < 0 || number > 1<<30 {
+			return admitter.Load{}, false
+		}
+		numbers[i], rest = number, after
+	}
+	if rest != "" {
+		return admitter.Load{}, false
+	}
+	return admitter.Load{
+		Running: numbers[0], Queued: numbers[1], Slots: numbers[2], Wait: timekeeper.Millis(numbers[3]),
+	}, true
+}
+
+// decodeMillis reads an optional span; fallback stands for a missing header.
+func decodeMillis(header http.Header, name string, fallback timekeeper.Millis) (timekeeper.Millis, error) {
+	text := header.Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 || number > int64(24*60*timekeeper.Minute) {
+		return 0, classifier.Refuse(classifier.CodeBadRequest, name, "%.30q is not a span in ms", text)
+	}
+	return timekeeper.Millis(number), nil
+}
--- /dev/null
+++ b/internal/forwarder/job.go
@@ -0,0 +1,98 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// jobFormat is the version of the Jasmine-Forward header.
+const jobFormat = 1
+
+const jobFields = 14
+
+// job is what an entry node tells the host node about a request, in the Jasmine-Forward header.
+type job struct {
+	ID          string
+	Attempt     int
+	Idempotent  bool
+	Fresh       bool // the entry node made the id, so nobody else can have presented it
+	Retry       bool // the request is part of a retry, here or at a node before
+	Order       int
+	Share       int
+	Target      timekeeper.Millis
+	Remaining   timekeeper.Millis // until the deadline
+	Depth       int
+	Fingerprint uint64 // of method, path, query and body
+	Account     string
+	Call        string
+	Service     string
+	Method      string
+	URI         string // path and query as the caller sent them
+}
+
+// encode returns the value of the Jasmine-Forward header.
+func (j *job) encode() string {
+	text := make([]byte, 0, 128)
+	for _, number := range [...]int64{
+		jobFormat, int64(j.Attempt), flags(j.Idempotent, j.Fresh, j.Retry), int64(j.Order), int64(j.Share),
+		int64(j.Target), int64(j.Remaining), int64(j.Depth),
+	} {
+		text = strconv.AppendInt(text, number, 10)
+		text = append(text, ' ')
+	}
+	text = strconv.AppendUint(text, j.Fingerprint, 16)
+	for _, word := range [...]string{j.Account, j.Call, j.Service, j.Method, j.ID} {
+		text = append(text, ' ')
+		text = append(text, word...)
+	}
+	return string(text)
+}
+
+func flags(values ...bool) int64 {
+	sum := int64(0)
+	for i, value := range values {
+		if value {
+			sum |= 1 << i
+		}
+	}
+	return sum
+}
+
+// decodeJob reads the headers that an entry node sent. It fails with code 301 or 305.
+func decodeJob(header http.Header) (*job, error) {
+	words := strings.Split(header.Get(headerForward), " ")
+	if words[0] != strconv.Itoa(jobFormat) {
+		return nil, classifier.Refuse(classifier.CodePeerFormat, headerForward, "format %.20q is not known", words[0])
+	}
+	if len(words) != jobFields {
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "has %d fields", len(words))
+	}
+	var numbers [8]int64
+	for i := range numbers {
+		number, err := strconv.ParseInt(words[i], 10, 64)
+		if err != nil || number < 0 || number > 1<<32 {
+			return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "field %d is %.30q", i, words[i])
+		}
+		numbers[i] = number
+	}
+	fingerprint, err := strconv.ParseUint(words[8], 16, 64)
+	if err != nil {
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "fingerprint is %.30q", words[8])
+	}
+	j := &job{
+		Attempt: int(numbers[1]), Idempotent: numbers[2]&1 != 0, Fresh: numbers[2]&2 != 0, Retry: numbers[2]&4 != 0,
+		Order: int(numbers[3]), Share: int(numbers[4]), Target: timekeeper.Millis(numbers[5]),
+		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Fingerprint: fingerprint,
+		Account: words[9], Call: words[10], Service: words[11], Method: words[12], ID: words[13],
+		URI: header.Get(headerTarget),
+	}
+	if !strings.HasPrefix(j.URI, "/") || j.Order >= admitter.Ranks || j.Method == "" || !validID(j.ID) {
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "a field is out of range")
+	}
+	return j, nil
+}
--- /dev/null
+++ b/internal/forwarder/options.go
@@ -0,0 +1,70 @@
+// Package forwarder carries requests over HTTP: from the caller to the host node and from there to the upstream.
+package forwarder
+
+import (
+	"context"
+	"net"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/router"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+const (
+	// defaultMaxBody bounds a request body when the settings name no limit.
+	defaultMaxBody = 1 << 20
+	// keptBytes bounds an answer that is read whole before it is passed on and kept for its record.
+	keptBytes = 64 << 10
+	// maxDepth bounds a chain of calls.
+	maxDepth = 16
+)
+
+// Views gives the configuration in force; *follower.Follower satisfies it.
+type Views interface {
+	Active() *compiler.View
+	Ready() bool
+}
+
+// Caller makes calls of the node protocol; messenger.Caller satisfies it.
+type Caller interface {
+	Call(ctx context.Context, peer, method string, arguments, reply any, timeout timekeeper.Millis) error
+}
+
+// Gate counts calls in flight and closes for a planned stop; *drainer.Drainer satisfies it.
+type Gate interface {
+	Begin() bool // false once the node drains
+	End()
+}
+
+// Prober tells whether the local upstream died; *prober.Prober satisfies it.
+type Prober interface {
+	Alive() bool
+	Check(ctx context.Context) bool
+	Restarts() uint64
+}
+
+// Options are the parts that NewEntry and NewHost assemble. Parts that are nil are left out.
+type Options struct {
+	Clock  timekeeper.Clock
+	Logger *zap.Logger
+	Name   string // member name of this node
+	Zone   string
+	Gate   Gate
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
+
+	// Entry node.
+	Views    Views
+	Picker   *router.Picker
+	Caller   Caller
+	Internal string // secret of internal calls; empty refuses them all
+	MaxBody  int64  // bytes of a request body; 0 for 1 MiB
+
+	// Host node.
+	Queue       *admitter.Queue
+	Prober      Prober
+	Upstream    string // address of the upstream, such as 127.0.0.1:9000
+	Connections int    // connections to the upstream; 0 for no bound
+}
--- /dev/null
+++ b/internal/forwarder/upstream.go
@@ -0,0 +1,141 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// answer is the upstream's response: whole in body, or continued in stream when it is longer than keptBytes.
+type answer struct {
+	status int
+	header http.Header
+	body   *buffer
+	stream io.ReadCloser
+	length int64
+}
+
+// upstream runs a request on the upstream. A failure says whether the request may have run.
+func (h *Host) upstream(
+	ctx context.Context, r *http.Request, j *job, deadline timekeeper.Millis,
+) (*answer, *classifier.Error) {
+	request, err := h.build(ctx, r, j, deadline)
+	if err != nil {
+		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
+	}
+	response, err := h.transport.RoundTrip(request)
+	if err != nil {
+		return nil, upstreamFailure(ctx, j, err)
+	}
+	if response.Header.Get(headerOutcome) == string(classifier.OutcomeNotRun) {
+		_ = response.Body.Close()
+		failure := classifier.Refuse(classifier.CodeOverload, j.Call, "the upstream shed the request")
+		failure.Cause = &admitter.RetryError{After: 1}
+		return nil, failure
+	}
+	a := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+	if j.Method == http.MethodHead {
+		_ = response.Body.Close()
+		return a, nil
+	}
+	return a, a.read(j, response)
+}
+
+// read takes the whole answer, or its first part when it is longer than keptBytes.
+func (a *answer) read(j *job, response *http.Response) *classifier.Error {
+	a.body = buffers.get()
+	limit := int64(keptBytes)
+	if a.length >= 0 && a.length <= limit {
+		limit = a.length
+	}
+	complete, err := readUpTo(a.body, response.Body, a.length, limit)
+	if err != nil {
+		_ = response.Body.Close()
+		a.close()
+		return classifier.Unknown(classifier.CodeAnswerTruncated, j.Call, "the upstream's answer broke off: %v", err)
+	}
+	if !complete {
+		a.stream = response.Body
+		return nil
+	}
+	_ = response.Body.Close()
+	a.length = int64(len(a.body.bytes))
+	return nil
+}
+
+func (h *Host) build(ctx context.Context, r *http.Request, j *job, deadline timekeeper.Millis) (*http.Request, error) {
+	target, err := url.ParseRequestURI(j.URI)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", h.Upstream
+	header := make(http.Header, len(r.Header)+4)
+	passHeaders(header, r.Header)
+	suppressAgent(header)
+	header[headerID] = []string{j.ID}
+	header[headerDeadline] = []string{strconv.FormatInt(int64(deadline-h.Clock.Now()), 10)}
+	header[headerDepth] = []string{strconv.Itoa(j.Depth)}
+	if j.Retry {
+		header[headerRetry] = []string{"1"}
+	}
+	request := &http.Request{
+		Method: j.Method, URL: target, Host: r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	switch {
+	case r.ContentLength > 0:
+		request.Body, request.ContentLength = io.NopCloser(r.Body), r.ContentLength
+	case j.Method == http.MethodGet, j.Method == http.MethodHead:
+		request.Body = newOnce(nil) // without it net/http would send these methods again after a broken connection
+	}
+	return request.WithContext(ctx), nil
+}
+
+func upstreamFailure(ctx context.Context, j *job, err error) *classifier.Error {
+	switch {
+	case unsent(err):
+		return classifier.Refuse(classifier.CodeUpstreamUnreached, j.Call, "no connection to the upstream: %v", err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "no answer from the upstream by the deadline")
+	}
+	return classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the connection to the upstream broke: %v", err)
+}
+
+// write sends the answer to the entry node. A long answer that breaks off closes the connection.
+func (a *answer) write(w http.ResponseWriter, j *job, load string) {
+	defer a.close()
+	header := w.Header()
+	passHeaders(header, a.header)
+	header[headerOutcome] = []string{string(classifier.OutcomeAnswered)}
+	header[headerLoad] = []string{load}
+	if j.Method == http.MethodHead {
+		if length := header[headerLengthIn]; length != nil {
+			header[headerLength] = length
+			delete(header, headerLengthIn)
+		}
+		w.WriteHeader(a.status)
+		return
+	}
+	if a.length >= 0 && bodyAllowed(a.status) {
+		header[headerLengthIn] = lengthOf(int(a.length))
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body.bytes)
+	if a.stream != nil && !stream(w, a.stream, a.length-int64(len(a.body.bytes)), a.length >= 0) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (a *answer) close() {
+	if a.stream != nil {
+		_ = a.stream.Close()
+	}
+	releaseBuffer(a.body)
+	a.body, a.stream = nil, nil
+}
--- /dev/null
+++ b/internal/router/group.go
@@ -0,0 +1,61 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// candidate is a usable member with this node's figures of it.
+type candidate struct {
+	member   *tracker.Member
+	endpoint *endpoint
+}
+
+// zone is the usable members of a service in one data centre.
+type zone struct {
+	name       string
+	delay      timekeeper.Millis // one way
+	candidates []candidate
+}
+
+// group is a service's usable members by data centre, nearest first, built once per membership snapshot.
+type group struct {
+	members []tracker.Member
+	zones   []zone
+}
+
+// describes reports whether the group was built from this snapshot. Snapshots are immutable, so the address decides.
+func (g *group) describes(members []tracker.Member) bool {
+	if len(g.members) != len(members) {
+		return false
+	}
+	return len(members) == 0 || &g.members[0] == &members[0]
+}
+
+func (p *Picker) newGroup(members []tracker.Member) *group {
+	built := &group{members: members}
+	for i := range members {
+		member := &members[i]
+		if !member.Usable() && !p.useAll {
+			continue
+		}
+		name := member.Zone
+		if p.noZones {
+			name = p.zone
+		}
+		at := slices.IndexFunc(built.zones, func(z zone) bool { return z.name == name })
+		if at < 0 {
+			at = len(built.zones)
+			built.zones = append(built.zones, zone{name: name, delay: p.delay(name)})
+		}
+		one := candidate{member, p.endpoint(member.Name)}
+		built.zones[at].candidates = append(built.zones[at].candidates, one)
+	}
+	slices.SortFunc(built.zones, func(a, b zone) int {
+		return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.name, b.name))
+	})
+	return built
+}
