Add messenger: net/rpc between nodes with bounded msgpack messages

Cause: nodes need one call mechanism with its own deadline per call, byte counts per data centre, and no way for a peer to end the process with a malformed message or a method that panics.

Ruled out: several calls at once on one connection, because a silent connection would then hold up more than one call; direct registration at net/rpc, because it runs methods without recovery.

Change: Client (pool of connections, one call on each at a time, closed by a call without an answer), Server (Register, ServeHTTP for CONNECT /rpc), a codec with a 2 MiB bound, a structure check before decoding, and byte counters split by data centre. Errors travel with their code.

--- /dev/null
+++ b/internal/messenger/client_test.go
@@ -0,0 +1,215 @@
+package messenger
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+// Guards against replies that reach the wrong call, errors that lose their code, a panic that ends the process and
+// an oversized reply that ends the connection without a code.
+func TestCallEndsWithItsOwnResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, _, network := start(t, "a")
+		for _, c := range []struct {
+			method string
+			text   string
+			code   classifier.Code
+		}{
+			{"Echo.Say", "hello", classifier.CodeOK},
+			{"Echo.Refuse", "x", classifier.CodeNotReady},
+			{"Echo.Panic", "x", classifier.CodePeerInvalid},
+			{"Echo.Missing", "x", classifier.CodePeerInvalid},
+			{"Echo.Flood", "x", classifier.CodePeerTooLarge},
+			{"Echo.Say", strings.Repeat("y", MaxMessageBytes), classifier.CodePeerTooLarge},
+			{"Echo.Say", "again", classifier.CodeOK},
+		} {
+			var reply text
+			err := client.Call(t.Context(), "peer", c.method, &text{c.text}, &reply, 1000)
+			if classifier.CodeOf(err) != c.code || err == nil && reply.Text != c.text {
+				t.Errorf("%s: got %q and %v, want code %d", c.method, reply.Text, err, c.code)
+			}
+		}
+		if network.dials > 2 {
+			t.Errorf("%d connections opened, want one and one after the refused request", network.dials)
+		}
+	})
+}
+
+// Guards against a panic in a method that ends the process: without recovery the panic reaches the goroutine.
+func TestPanicPassesWithoutRecovery(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		server := NewServer(Options{})
+		if err := server.Register("Echo", &echo{}); err != nil {
+			t.Fatal(err)
+		}
+		server.dispatcher.panics = off
+		request, err := encode(frame{Method: "Echo.Panic", Body: []byte{0x80}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		passed := func() (passed bool) {
+			defer func() { passed = recover() != nil }()
+			_ = server.dispatcher.Invoke(&request, new([]byte))
+			return false
+		}()
+		if passed != off {
+			t.Errorf("recovery off %v: panic passed %v", off, passed)
+		}
+	}
+}
+
+// Guards against a silent connection that holds up later calls. With reuse the second call meets it again.
+func TestSilentConnectionIsUsedOnce(t *testing.T) {
+	for _, reuse := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			network := newPipes()
+			requests := make(chan int, 10)
+			go func() {
+				for id := 0; ; id++ {
+					conn, err := network.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						reader := bufio.NewReader(conn)
+						_, _ = http.ReadRequest(reader)
+						_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+						for {
+							if _, err := readFrame(reader); err != nil {
+								return
+							}
+							requests <- id
+						}
+					}()
+				}
+			}()
+			client := NewClient(Options{Dial: network.dial})
+			client.reuse = reuse
+			for range 3 {
+				err := client.Call(t.Context(), "peer", "Echo.Say", &text{}, &text{}, 500)
+				if classifier.CodeOf(err) != classifier.CodePeerTimeout {
+					t.Errorf("got %v, want code %d", err, classifier.CodePeerTimeout)
+				}
+			}
+			synctest.Wait()
+			used := make(map[int]int)
+			for range len(requests) {
+				used[<-requests]++
+			}
+			if once := len(used) == 3; once == reuse {
+				t.Errorf("reuse %v: calls per connection %v", reuse, used)
+			}
+			client.Close()
+			_ = network.Close()
+		})
+	}
+}
+
+// Guards against bytes between data centres that are counted as local, and the reverse.
+func TestTrafficIsSplitByZone(t *testing.T) {
+	for _, zone := range []string{"a", "b"} {
+		synctest.Test(t, func(t *testing.T) {
+			client, server, _ := start(t, zone)
+			if err := client.Call(t.Context(), "peer", "Echo.Say", &text{"hi"}, &text{}, 500); err != nil {
+				t.Fatal(err)
+			}
+			near, far := client.Traffic().Totals(), server.options.Traffic.Totals()
+			local, remote := near.SentLocal+near.ReceivedLocal, near.SentRemote+near.ReceivedRemote
+			if (zone == "a") != (local > 0) || (zone == "a") == (remote > 0) {
+				t.Errorf("zone %s: local %d, remote %d", zone, local, remote)
+			}
+			if far.ReceivedLocal+far.ReceivedRemote == 0 || far.SentLocal+far.SentRemote == 0 {
+				t.Errorf("zone %s: server counted %+v", zone, far)
+			}
+		})
+	}
+}
+
+// Guards against a connection that stays open for ever after its last call, and against an early close.
+func TestUnusedConnectionExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, _, _ := start(t, "a")
+		if err := client.Call(t.Context(), "peer", "Echo.Say", &text{}, &text{}, 500); err != nil {
+			t.Fatal(err)
+		}
+		link := client.pool.take("peer")
+		if link == nil {
+			t.Fatal("connection was not kept")
+		}
+		client.pool.put("peer", link)
+		<-time.After((defaultIdle - 1).Duration())
+		if kept := client.pool.take("peer"); kept != link {
+			t.Fatal("connection closed before its time")
+		}
+		client.pool.put("peer", link)
+		<-time.After((defaultIdle + 1).Duration())
+		if client.pool.take("peer") != nil || !link.codec.broken.Load() {
+			t.Error("connection is still open after its time")
+		}
+	})
+}
+
+// Guards against nonsense from a peer that ends the process or gets no numbered error.
+func TestNonsenseGetsNumberedError(t *testing.T) {
+	for name, sent := range map[string][]byte{
+		"too long":  {0xff, 0xff, 0xff, 0xff},
+		"not whole": {0, 0, 0, 2, 0x81, 0xa1},
+		"not a map": {0, 0, 0, 1, 0xc0},
+		"two":       {0, 0, 0, 2, 0x80, 0x80},
+		"no body":   {0, 0, 0, 1, 0x80},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			client, _, network := start(t, "a")
+			conn, err := network.dial(t.Context(), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = conn.Write([]byte("CONNECT /rpc HTTP/1.1\r\nHost: x\r\n\r\n"))
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			_, _ = conn.Write(sent)
+			f, err := readFrame(reader)
+			if code := classifier.CodeOf(unpackError(f.Error)); err != nil || code/100 != 3 {
+				t.Errorf("%s: answered %+v and %v, want a 3xx code", name, f, err)
+			}
+			_ = conn.Close()
+			if err := client.Call(t.Context(), "peer", "Echo.Say", &text{}, &text{}, 500); err != nil {
+				t.Errorf("%s: next call failed: %v", name, err)
+			}
+		})
+	}
+}
+
+// Guards against decoders that panic or accept what they cannot represent.
+func FuzzReadFrame(f *testing.F) {
+	whole, err := encode(frame{Sequence: 7, Method: "Echo.Say", Body: []byte{0x80}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(append(binary.BigEndian.AppendUint32(nil, uint32(len(whole))), whole...))
+	f.Add([]byte{0, 0, 0, 5, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 3, 0x91, 0x91, 0x91})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		read, err := readFrame(strings.NewReader(string(content)))
+		if err != nil {
+			return
+		}
+		if err := writeFrame(io.Discard, read); err != nil {
+			t.Fatalf("accepted %+v, which cannot be written: %v", read, err)
+		}
+		var value struct{ Names []string }
+		_ = decode(read.Body, &value)
+	})
+}
