--- a/internal/faker/conn.go
+++ b/internal/faker/conn.go
@@ -12,14 +12,14 @@
 // Conn is a connection of the fake network. Both directions have the delay of its route.
 type Conn struct {
 	net.Conn
-	network *Network
-	route   route
-	done    chan struct{}
-	once    sync.Once
-	sent    chan chunk
-	arrived chan chunk
-	rest    []byte
-	failed  error
+	topology *Topology
+	route    route
+	done     chan struct{}
+	once     sync.Once
+	sent     chan chunk
+	arrived  chan chunk
+	rest     []byte
+	failed   error
 }
 
 // chunk is the bytes of one write and the time at which they arrive.
@@ -29,8 +29,8 @@
 	err   error
 }
 
-func newConn(inner net.Conn, network *Network, r route) net.Conn {
-	c := &Conn{Conn: inner, network: network, route: r, done: make(chan struct{})}
+func newConn(inner net.Conn, topology *Topology, r route) net.Conn {
+	c := &Conn{Conn: inner, topology: topology, route: r, done: make(chan struct{})}
 	if r.local() {
 		return c
 	}
@@ -48,9 +48,9 @@
 
 // Write sends bytes; on a route between data centres they arrive after its delay.
 func (c *Conn) Write(bytes []byte) (int, error) {
-	c.network.count(c.route, len(bytes))
+	c.topology.count(c.route, len(bytes))
 	if c.route.local() {
-		if err := c.network.wait(c.done, c.route); err != nil {
+		if err := c.topology.wait(c.done, c.route); err != nil {
 			return 0, err
 		}
 		return c.Conn.Write(bytes)
@@ -68,8 +68,8 @@
 func (c *Conn) Read(bytes []byte) (int, error) {
 	if c.route.local() {
 		count, err := c.Conn.Read(bytes)
-		c.network.count(c.route, count)
-		if blocked := c.network.wait(c.done, c.route); blocked != nil {
+		c.topology.count(c.route, count)
+		if blocked := c.topology.wait(c.done, c.route); blocked != nil {
 			return 0, blocked
 		}
 		return count, err
@@ -97,7 +97,7 @@
 }
 
 func (c *Conn) due() time.Time {
-	return time.Now().Add(c.network.latency().Duration())
+	return time.Now().Add(c.topology.latency().Duration())
 }
 
 // hold waits until a chunk is due and its route carries traffic.
@@ -109,7 +109,7 @@
 	case <-c.done:
 		return net.ErrClosed
 	}
-	return c.network.wait(c.done, c.route)
+	return c.topology.wait(c.done, c.route)
 }
 
 func (c *Conn) deliver() {
@@ -132,7 +132,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := c.Conn.Read(buffer)
-		c.network.count(c.route, count)
+		c.topology.count(c.route, count)
 		next := chunk{bytes: append([]byte(nil), buffer[:count]...), due: c.due(), err: err}
 		select {
 		case c.arrived <- next:
--- a/internal/faker/network.go
+++ b/internal/faker/network.go
@@ -2,155 +2,90 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
-
-	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"syscall"
 )
 
-// Network dials between data centres on loopback with delay, loss, cuts and paused members.
+// Network connects dialers to listeners by address inside one process. Its connections block on channels only, so code
+// that uses it runs under testing/synctest.
 type Network struct {
-	options NetworkOptions
-	mutex   sync.Mutex
-	zones   map[string]string   // data centre of an address
-	owners  map[string]string   // member behind an address
-	cuts    map[string]struct{} // data centres that reach no other one
-	paused  map[string]struct{} // members that neither send nor receive
-	changed chan struct{}       // closed when cuts or paused change
-	random  *rand.Rand
-	within  atomic.Int64
-	between atomic.Int64
+	mutex     sync.Mutex
+	listeners map[string]*memoryListener
 }
 
-// NetworkOptions are the properties of links between data centres.
-type NetworkOptions struct {
-	Delay  timekeeper.Millis // one way
-	Jitter timekeeper.Millis // added at random, up to this much
-	Loss   float64           // share of writes that arrive a retransmission timeout late
-	Seed   uint64
+// NewNetwork returns a network without listeners.
+func NewNetwork() *Network {
+	return &Network{listeners: make(map[string]*memoryListener)}
 }
 
-// retransmission is the time by which TCP delivers a lost segment late.
-const retransmission timekeeper.Millis = 200
-
-// NewNetwork returns a network without members.
-func NewNetwork(options NetworkOptions) *Network {
-	return &Network{
-		options: options,
-		zones:   make(map[string]string),
-		owners:  make(map[string]string),
-		cuts:    make(map[string]struct{}),
-		paused:  make(map[string]struct{}),
-		changed: make(chan struct{}),
-		random:  rand.New(rand.NewPCG(options.Seed, 1)),
-	}
-}
-
-// Register tells the data centre and the member behind an address.
-func (n *Network) Register(address, zone, member string) {
+// Listen returns the listener of an address. An earlier one at the address gets no more connections.
+func (n *Network) Listen(address string) net.Listener {
+	l := &memoryListener{network: n, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.zones[address], n.owners[address] = zone, member
+	n.listeners[address] = l
+	return l
 }
 
-// Cut separates a data centre from the others, or joins it again.
-func (n *Network) Cut(zone string, cut bool) {
-	n.change(n.cuts, zone, cut)
+// Dial connects to the listener of an address; without one the connection is refused.
+func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	n.mutex.Lock()
+	l := n.listeners[address]
+	n.mutex.Unlock()
+	refused := &net.OpError{Op: "dial", Net: network, Addr: memoryAddress(address), Err: syscall.ECONNREFUSED}
+	if l == nil {
+		return nil, refused
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, refused
+	case <-ctx.Done():
+		return nil, &net.OpError{Op: "dial", Net: network, Addr: memoryAddress(address), Err: ctx.Err()}
+	}
 }
 
-// Pause stops a member's traffic, or resumes it.
-func (n *Network) Pause(member string, pause bool) {
-	n.change(n.paused, member, pause)
+type memoryListener struct {
+	network *Network
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
 }
 
-// Within returns the bytes sent so far inside data centres.
-func (n *Network) Within() int64 { return n.within.Load() }
-
-// Between returns the bytes sent so far between data centres.
-func (n *Network) Between() int64 { return n.between.Load() }
-
-// Dialer returns the dial function of a member.
-func (n *Network) Dialer(zone, member string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		n.mutex.Lock()
-		route := route{fromZone: zone, fromMember: member, toZone: n.zones[address], toMember: n.owners[address]}
-		n.mutex.Unlock()
-		if err := n.wait(ctx.Done(), route); err != nil {
-			return nil, err
-		}
-		var dialer net.Dialer
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return newConn(conn, n, route), nil
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
 
-func (n *Network) change(set map[string]struct{}, key string, add bool) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if add {
-		set[key] = struct{}{}
-	} else {
-		delete(set, key)
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	l.network.mutex.Lock()
+	defer l.network.mutex.Unlock()
+	if l.network.listeners[l.address] == l {
+		delete(l.network.listeners, l.address)
 	}
-	close(n.changed)
-	n.changed = make(chan struct{})
+	return nil
 }
 
-// wait blocks while the route carries nothing. It returns net.ErrClosed when done is closed first.
-func (n *Network) wait(done <-chan struct{}, r route) error {
-	for {
-		blocked, changed := n.blocked(r)
-		if !blocked {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-done:
-			return net.ErrClosed
-		}
-	}
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr {
+	return memoryAddress(l.address)
 }
 
-func (n *Network) blocked(r route) (bool, <-chan struct{}) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if _, ok := n.paused[r.fromMember]; ok {
-		return true, n.changed
-	}
-	if _, ok := n.paused[r.toMember]; ok {
-		return true, n.changed
-	}
-	if r.local() {
-		return false, n.changed
-	}
-	_, from := n.cuts[r.fromZone]
-	_, to := n.cuts[r.toZone]
-	return from || to, n.changed
-}
+type memoryAddress string
 
-// latency draws the one-way delay of the next write on a route between data centres.
-func (n *Network) latency() timekeeper.Millis {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	delay := n.options.Delay
-	if n.options.Jitter > 0 {
-		delay += timekeeper.Millis(n.random.Int64N(int64(n.options.Jitter)))
-	}
-	if n.random.Float64() < n.options.Loss {
-		delay += retransmission
-	}
-	return delay
-}
+// Network implements net.Addr.
+func (memoryAddress) Network() string { return "memory" }
 
-func (n *Network) count(r route, bytes int) {
-	if r.local() {
-		n.within.Add(int64(bytes))
-		return
-	}
-	n.between.Add(int64(bytes))
-}
+// String implements net.Addr.
+func (a memoryAddress) String() string { return string(a) }
