--- /dev/null
+++ b/internal/commander/node.go
@@ -0,0 +1,35 @@
+package commander
+
+import (
+	"context"
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
+)
+
+// runNode runs a node until its context ends. It has the type of runner.Run.
+var runNode = func(context.Context, loader.Settings) error {
+	return errors.New("this build has no runner")
+}
+
+func (p *program) nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run a node beside an upstream",
+		Description: "Runs until SIGTERM or SIGINT, then drains: the node refuses new work, ends the work it has and\n" +
+			"leaves the mesh.",
+		Flags: settingsFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return &usageError{cause: errors.New("node takes no arguments")}
+			}
+			settings, err := p.settings(c)
+			if err != nil {
+				return err
+			}
+			return p.run(ctx, settings)
+		},
+	}
+}
--- /dev/null
+++ b/internal/commander/program.go
@@ -0,0 +1,77 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
+)
+
+// program is one run of the command line with its surroundings.
+type program struct {
+	input       io.Reader
+	output      io.Writer
+	errors      io.Writer
+	environment []string // NAME=value
+	run         func(ctx context.Context, settings loader.Settings) error
+}
+
+func (p *program) execute(ctx context.Context, arguments []string) int {
+	root := p.root()
+	prepare(root)
+	err := root.Run(ctx, arguments)
+	if err != nil {
+		_, _ = fmt.Fprintln(p.errors, "jasmineproxy:", err)
+	}
+	return exitCode(err)
+}
+
+func (p *program) root() *cli.Command {
+	return &cli.Command{
+		Name:  "jasmineproxy",
+		Usage: "configuration distribution system for a service mesh",
+		Description: "Exit codes: 0 success; 1 failure without a result code; 2 wrong usage; 11 configuration (1xx);\n" +
+			"12 requests (2xx); 13 node protocol (3xx); 14 administration (4xx); 15 platform (5xx).",
+		Writer:          p.output,
+		ErrWriter:       p.errors,
+		HideHelpCommand: true,
+		// The library's default handler ends the process, which would skip deferred calls.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action:         func(_ context.Context, c *cli.Command) error { return missingCommand(c) },
+		Commands: []*cli.Command{
+			p.nodeCommand(),
+			p.checkCommand(),
+		},
+	}
+}
+
+// prepare makes every command report wrong flags as wrong usage.
+func prepare(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{cause: err}
+	}
+	for _, child := range command.Commands {
+		prepare(child)
+	}
+}
+
+func missingCommand(c *cli.Command) error {
+	if c.Args().Present() {
+		return &usageError{cause: fmt.Errorf("no command %q; see %s --help", c.Args().First(), c.FullName())}
+	}
+	return cli.ShowSubcommandHelp(c)
+}
+
+// variable returns the value of an environment variable, or empty.
+func (p *program) variable(name string) string {
+	for _, pair := range p.environment {
+		if key, value, _ := strings.Cut(pair, "="); key == name {
+			return value
+		}
+	}
+	return ""
+}
--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -3,21 +3,21 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-
-	"github.com/urfave/cli/v3"
+	"os/signal"
+	"syscall"
 )
 
-// Run runs the command line and returns the exit code of the process.
+// Run runs the command line and returns the exit code of the process. SIGTERM and SIGINT end the command's context.
 func Run(arguments []string) int {
-	command := &cli.Command{
-		Name:  "jasmineproxy",
-		Usage: "configuration distribution system for a service mesh",
-	}
-	if err := command.Run(context.Background(), arguments); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p := &program{
+		input:       os.Stdin,
+		output:      os.Stdout,
+		errors:      os.Stderr,
+		environment: os.Environ(),
+		run:         runNode,
 	}
-	return 0
+	return p.execute(ctx, arguments)
 }
--- /dev/null
+++ b/internal/loader/load_test.go
@@ -0,0 +1,192 @@
+package loader
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+var update = flag.Bool("update", false, "write golden files")
+
+// Guards against a field that a file cannot set.
+func TestFileSetsEveryField(t *testing.T) {
+	settings, err := Load(Sources{File: "testdata/full.yaml"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Settings{
+		Name: "libro-1", Zone: "vereda-alta", Service: "libro-socios", Slots: 6,
+		Caller: "127.0.0.1:8000", Peer: "127.0.0.1:8100", Admin: "127.0.0.1:8200",
+		Upstream: Upstream{Address: "127.0.0.1:9000", Probe: "/alive"},
+		Platform: Platform{URL: "http://127.0.0.1:7000", Rate: 2.5, Burst: 4, Timeout: 3000},
+		Seeds:    []string{"127.0.0.2:8100", "127.0.0.3:8100"},
+		Internal: "0123456789abcdef",
+		Operator: "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+		Memory:   Memory{Records: 1 << 20, Response: 1024, Process: 128 << 20},
+		Body:     2048, Log: "warn",
+	}
+	if diff := cmp.Diff(want, settings); diff != "" {
+		t.Fatalf("settings differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an optional field that loses its default when it is absent, or when its group is empty in the file.
+func TestAbsentFieldsHaveDefaults(t *testing.T) {
+	content, err := os.ReadFile("testdata/least.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, extra := range []string{"", "memory:\n", "memory: {}\n", "seeds: []\n"} {
+		settings, err := Parse("least.yaml", append(content, extra...))
+		if err != nil {
+			t.Fatalf("%q: %v", extra, err)
+		}
+		defaults := Default()
+		if diff := cmp.Diff(defaults.Memory, settings.Memory); diff != "" {
+			t.Fatalf("%q: memory differs (-want +got):\n%s", extra, diff)
+		}
+		if settings.Upstream.Probe != defaults.Upstream.Probe || settings.Platform.Rate != defaults.Platform.Rate {
+			t.Fatalf("%q: defaults are lost: %+v", extra, settings)
+		}
+	}
+}
+
+// Guards against a fault that is reported without its file, line, field, reason or code.
+func TestEachFaultIsNamed(t *testing.T) {
+	_, err := Load(Sources{File: "testdata/wrong.yaml"})
+	if code := classifier.CodeOf(err); code != classifier.CodeSettingsInvalid {
+		t.Fatalf("code is %d", code)
+	}
+	compareGolden(t, "wrong.golden", err.Error()+"\n")
+}
+
+// Guards against an unknown, repeated or mistyped field that is taken without an error.
+func TestFileFaultsAreRefused(t *testing.T) {
+	least, err := os.ReadFile("testdata/least.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ name, extra, want string }{
+		{"unknown field", "slot: 6\n", `code 110: s.yaml:11: slot: unknown field "slot"`},
+		{"unknown nested field", "memory: {record: 1}\n", `code 110: s.yaml:11: record: unknown field "record"`},
+		{"repeated field", "name: other\n", "s.yaml:11"},
+		{"wrong type", "slots: many\n", "s.yaml:11"},
+		{"fraction", "slots: 1.5\n", "s.yaml:11"},
+		{"second document", "---\nname: other\n", "s.yaml:12: a second document"},
+		{"broken syntax", "memory: {\n", "s.yaml:11"},
+		{"over the limit", "slots: 10001\n", "s.yaml:11: slots: the value must be at most 10000"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("s.yaml", []byte(string(least)+c.extra))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("error is %v, want %s", err, c.want)
+			}
+			if code := classifier.CodeOf(err); code != classifier.CodeSettingsInvalid {
+				t.Fatalf("code is %d", code)
+			}
+		})
+	}
+}
+
+// Guards against a wrong order of the sources: flags win over the environment, the environment over the file.
+func TestLaterSourcesWin(t *testing.T) {
+	settings, err := Load(Sources{
+		File: "testdata/full.yaml",
+		Environment: []string{
+			"HOME=/", "JASMINE_TOKEN=x", "JASMINE_SLOTS=7", "JASMINE_BODY=4096",
+			"JASMINE_SEEDS=127.0.0.9:1, 127.0.0.8:1",
+		},
+		Flags: map[string]string{"slots": "8", "platform-rate": "1.5"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []any{settings.Slots, settings.Body, settings.Platform.Rate, settings.Seeds}
+	want := []any{8, int64(4096), 1.5, []string{"127.0.0.9:1", "127.0.0.8:1"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("values differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a fault in the environment or a flag that is blamed on the file, or ignored.
+func TestFaultNamesItsSource(t *testing.T) {
+	cases := []struct{ environment, flag, value, want string }{
+		{"JASMINE_SLOT=6", "", "", "code 110: environment JASMINE_SLOT: no setting has this variable"},
+		{"JASMINE_SLOTS=six", "", "", `code 110: environment JASMINE_SLOTS: slots: "six" is not a whole number`},
+		{"JASMINE_LOG=loud", "", "", "code 110: environment JASMINE_LOG: log: " +
+			"the value must be one of debug info warn error"},
+		{"", "platform-rate", "fast", `code 110: flag --platform-rate: platform.rate: "fast" is not a number`},
+		{"", "body", "1", "code 110: flag --body: body: the value must be at least 1024"},
+		{"", "seeds", "a,b", "code 110: flag --seeds: seeds[0]: the value must be an IP address and a port, " +
+			"such as 10.0.0.1:8000"},
+		{"", "peer", "127.0.0.1:8000", "code 110: flag --peer: peer: the address is the same as that of caller"},
+		{"", "nothing", "1", "code 110: flags: a flag names no setting"},
+	}
+	for _, c := range cases {
+		sources := Sources{File: "testdata/full.yaml", Environment: []string{c.environment}}
+		if c.flag != "" {
+			sources.Flags = map[string]string{c.flag: c.value}
+		}
+		_, err := Load(sources)
+		var problems FieldErrors
+		if !errors.As(err, &problems) || problems[0].Error() != c.want {
+			t.Errorf("error is %v, want %s", err, c.want)
+		}
+	}
+}
+
+// Guards against a missing or huge file that is read as an empty one.
+func TestUnreadableFileIsRefused(t *testing.T) {
+	large := filepath.Join(t.TempDir(), "large.yaml")
+	if err := os.WriteFile(large, make([]byte, maxFileBytes+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{large, "testdata/absent.yaml"} {
+		if _, err := Load(Sources{File: path}); classifier.CodeOf(err) != classifier.CodeSettingsInvalid {
+			t.Errorf("%s: error is %v", path, err)
+		}
+	}
+}
+
+// Guards against a settings file that crashes the process or is refused without code 110.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"full.yaml", "least.yaml", "wrong.yaml"} {
+		content, err := os.ReadFile(filepath.Join("testdata", name))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Add([]byte("a: &a [*a]\n"))
+	f.Add([]byte("{name: [}"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if _, err := Parse("s.yaml", content); err != nil && classifier.CodeOf(err) != classifier.CodeSettingsInvalid {
+			t.Fatalf("error has no code: %v", err)
+		}
+	})
+}
+
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Fatalf("%s differs (-want +got):\n%s", name, diff)
+	}
+}
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,60 @@
+// Package loader reads the settings of a node: one YAML file, then the environment, then flags.
+package loader
+
+import "github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+
+// Settings are all settings of one node. docs/settings.md describes each field.
+type Settings struct {
+	Name     string   `yaml:"name" validate:"required,name" usage:"name of the node, unique in the mesh"`
+	Zone     string   `yaml:"zone" validate:"required,name" usage:"data centre of the node"`
+	Service  string   `yaml:"service" validate:"required,name" usage:"service of the upstream beside the node"`
+	Slots    int      `yaml:"slots" validate:"min=0,max=10000" usage:"slots of the upstream; 0 takes the service's"`
+	Caller   string   `yaml:"caller" validate:"required,endpoint" usage:"address for callers, IP:port"`
+	Peer     string   `yaml:"peer" validate:"required,endpoint" usage:"address for other nodes, IP:port"`
+	Admin    string   `yaml:"admin" validate:"required,endpoint" usage:"address for administration, IP:port"`
+	Upstream Upstream `yaml:"upstream"`
+	Platform Platform `yaml:"platform"`
+	Seeds    []string `yaml:"seeds" validate:"max=64,unique,dive,endpoint" usage:"peer addresses to join through"`
+	Internal string   `yaml:"internal" validate:"omitempty,min=16,max=256,printascii" usage:"secret for internal calls"`
+	Operator string   `yaml:"operator" validate:"omitempty,digest" usage:"SHA-256 of an operator token, in hexadecimal"`
+	Memory   Memory   `yaml:"memory"`
+	Body     int64    `yaml:"body" validate:"min=1024,max=67108864" usage:"largest request body, in bytes"`
+	Log      string   `yaml:"log" validate:"oneof=debug info warn error" usage:"lowest level that is logged"`
+}
+
+// Upstream is the server process that runs the requests.
+type Upstream struct {
+	Address string `yaml:"address" validate:"required,endpoint" usage:"address of the upstream, IP:port"`
+	Probe   string `yaml:"probe" validate:"required,startswith=/,max=1024" usage:"path of the upstream's health check"`
+}
+
+// Platform is the object API and the limits of the node's calls to it.
+type Platform struct {
+	URL     string            `yaml:"url" validate:"required,http_url" usage:"base address of the platform"`
+	Rate    float64           `yaml:"rate" validate:"gt=0,max=1000" usage:"platform calls per second"`
+	Burst   int               `yaml:"burst" validate:"min=1,max=1000" usage:"platform calls that may be made at once"`
+	Timeout timekeeper.Millis `yaml:"timeout" validate:"min=100,max=60000" usage:"deadline of one platform call, in ms"`
+}
+
+// Memory bounds what a node keeps, in bytes.
+type Memory struct {
+	Records  int64 `yaml:"records" validate:"min=1048576,max=4294967296" usage:"request records and responses, in bytes"`
+	Response int64 `yaml:"response" validate:"min=0,max=16777216" usage:"largest response kept for repeats, in bytes"`
+	Process  int64 `yaml:"process" validate:"min=33554432,max=68719476736" usage:"soft limit of the process, in bytes"`
+}
+
+// Default returns the settings that hold where no source sets a field. Required fields are empty in it.
+func Default() Settings {
+	return Settings{
+		Upstream: Upstream{Probe: "/health"},
+		// The design page gives each node 5 platform calls a second, and every platform call 5 s.
+		Platform: Platform{Rate: 5, Burst: 10, Timeout: 5 * timekeeper.Second},
+		Memory: Memory{
+			Records:  64 << 20,
+			Response: 64 << 10,
+			Process:  256 << 20, // the control overhead target of a node
+		},
+		Body: 1 << 20,
+		Log:  "info",
+	}
+}
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,32 @@
+// Package logger writes short log lines with a fixed prefix per part of the node.
+package logger
+
+import (
+	"io"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+// New returns a logger that writes JSON lines at or above level (debug, info, warn or error) to output.
+func New(level string, output io.Writer) (*zap.Logger, error) {
+	lowest, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.CodeSettingsInvalid, "log", err)
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.TimeKey = "time"
+	encoding.MessageKey = "message"
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	sink := zapcore.Lock(zapcore.AddSync(output))
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), sink, lowest)), nil
+}
+
+// Part returns a logger whose messages start with the name of a part, such as "relayer: ".
+func Part(base *zap.Logger, name string) *zap.Logger {
+	return base.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return &prefixed{Core: core, prefix: name + ": "}
+	}))
+}
