--- /dev/null
+++ b/internal/tracker/message.go
@@ -0,0 +1,219 @@
+package tracker
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Format is the number of the message format that this version writes and reads.
+const Format = 1
+
+// Limits on the fields of a message.
+const (
+	maxName     = 128
+	maxEntries  = 8192
+	maxZones    = 64
+	maxSlots    = 1 << 20
+	maxSequence = 1 << 62
+	// maxAhead bounds how far an incarnation may lie in the future. An incarnation without a bound could never be
+	// raised above, and its name would be lost.
+	maxAhead = 24 * 60 * timekeeper.Minute
+)
+
+// Stamp is the order of an entry, without its content. Hash is the xxhash of the name.
+type Stamp struct {
+	Hash        uint64 `msgpack:"h"`
+	Incarnation uint64 `msgpack:"i"`
+	Sequence    uint64 `msgpack:"q"`
+	Health      Health `msgpack:"s"`
+}
+
+// Update is an entry on its way between nodes. Age is the time in ms since the member failed or left.
+type Update struct {
+	Member Member            `msgpack:"m"`
+	Age    timekeeper.Millis `msgpack:"a,omitempty"`
+}
+
+// Digest is the XOR of the entry hashes of one data centre.
+type Digest struct {
+	Zone string `msgpack:"z"`
+	Hash uint64 `msgpack:"h"`
+}
+
+// Ping asks a node whether it is alive. About is the sender's entry of the target, so that the target can refute it.
+type Ping struct {
+	Format  int      `msgpack:"f"`
+	From    Member   `msgpack:"m"`
+	Target  string   `msgpack:"t,omitempty"`
+	About   Stamp    `msgpack:"a"`
+	Digests []Digest `msgpack:"d,omitempty"`
+	Active  uint64   `msgpack:"v"` // configuration version in force at the sender
+}
+
+// Pong answers a Ping. About is the answerer's entry of the sender; Digests are those that differ from the sender's.
+type Pong struct {
+	Format  int      `msgpack:"f"`
+	From    Member   `msgpack:"m"`
+	About   Stamp    `msgpack:"a"`
+	Digests []Digest `msgpack:"d,omitempty"`
+	Active  uint64   `msgpack:"v"`
+}
+
+// Indirect asks a node to ping another member on behalf of the sender.
+type Indirect struct {
+	Format int    `msgpack:"f"`
+	Target string `msgpack:"t"`
+}
+
+// Exchange compares the entries of one data centre by their stamps, or delivers entries, or both.
+type Exchange struct {
+	Format  int      `msgpack:"f"`
+	Zone    string   `msgpack:"z,omitempty"` // data centre of Stamps; empty if there are none
+	Stamps  []Stamp  `msgpack:"s,omitempty"`
+	Updates []Update `msgpack:"u,omitempty"`
+}
+
+// Exchanged answers an Exchange with the entries that are newer at the answerer and the hashes of the names whose
+// entries are newer at the sender.
+type Exchanged struct {
+	Format  int      `msgpack:"f"`
+	Updates []Update `msgpack:"u,omitempty"`
+	Wanted  []uint64 `msgpack:"w,omitempty"`
+}
+
+func hashName(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+func stampOf(m *Member) Stamp {
+	return Stamp{Hash: hashName(m.Name), Incarnation: m.Incarnation, Sequence: m.Sequence, Health: m.Health}
+}
+
+// newer reports whether s is a later state of the entry than other.
+func (s Stamp) newer(other Stamp) bool {
+	a := Member{Incarnation: s.Incarnation, Sequence: s.Sequence, Health: s.Health}
+	b := Member{Incarnation: other.Incarnation, Sequence: other.Sequence, Health: other.Health}
+	return a.Newer(&b)
+}
+
+func checkFormat(format int, message string) error {
+	if format != Format {
+		return classifier.New(classifier.CodePeerFormat, message, "format %d is not known", format)
+	}
+	return nil
+}
+
+func invalid(message, field string, value any) error {
+	failure := classifier.New(classifier.CodePeerInvalid, message, "value %v is out of range", value)
+	failure.Field = field
+	return failure
+}
+
+func (m *Member) check(now timekeeper.Millis) error {
+	switch {
+	case m.Name == "" || len(m.Name) > maxName:
+		return invalid("member", "name", len(m.Name))
+	case m.Zone == "" || len(m.Zone) > maxName:
+		return invalid("member", "zone", len(m.Zone))
+	case len(m.Service) > maxName:
+		return invalid("member", "service", len(m.Service))
+	case len(m.Peer) > maxName || len(m.Caller) > maxName:
+		return invalid("member", "address", max(len(m.Peer), len(m.Caller)))
+	case m.Slots < 0 || m.Slots > maxSlots:
+		return invalid("member", "slots", m.Slots)
+	case m.Incarnation > uint64(now+maxAhead):
+		return invalid("member", "incarnation", m.Incarnation)
+	case m.Sequence > maxSequence:
+		return invalid("member", "sequence", m.Sequence)
+	case m.State > StateDraining:
+		return invalid("member", "state", m.State)
+	case m.Health > HealthLeft:
+		return invalid("member", "health", m.Health)
+	}
+	return nil
+}
+
+func (s Stamp) check(now timekeeper.Millis) error {
+	if s.Health > HealthLeft || s.Sequence > maxSequence || s.Incarnation > uint64(now+maxAhead) {
+		return invalid("stamp", "order", s)
+	}
+	return nil
+}
+
+func checkDigests(digests []Digest) error {
+	if len(digests) > maxZones {
+		return invalid("message", "digests", len(digests))
+	}
+	for _, d := range digests {
+		if d.Zone == "" || len(d.Zone) > maxName {
+			return invalid("digest", "zone", len(d.Zone))
+		}
+	}
+	return nil
+}
+
+func checkUpdates(now timekeeper.Millis, updates []Update) error {
+	if len(updates) > maxEntries {
+		return invalid("message", "updates", len(updates))
+	}
+	for i := range updates {
+		if err := updates[i].Member.check(now); err != nil {
+			return err
+		}
+		if updates[i].Age < 0 {
+			return invalid("update", "age", updates[i].Age)
+		}
+	}
+	return nil
+}
+
+func (p *Ping) check(now timekeeper.Millis) error {
+	if err := checkFormat(p.Format, "ping"); err != nil {
+		return err
+	}
+	return checkProbe(now, &p.From, p.About, p.Digests)
+}
+
+func (p *Pong) check(now timekeeper.Millis) error {
+	if err := checkFormat(p.Format, "pong"); err != nil {
+		return err
+	}
+	return checkProbe(now, &p.From, p.About, p.Digests)
+}
+
+func checkProbe(now timekeeper.Millis, from *Member, about Stamp, digests []Digest) error {
+	if err := from.check(now); err != nil {
+		return err
+	}
+	if err := about.check(now); err != nil {
+		return err
+	}
+	return checkDigests(digests)
+}
+
+func (e *Exchange) check(now timekeeper.Millis) error {
+	if err := checkFormat(e.Format, "exchange"); err != nil {
+		return err
+	}
+	if len(e.Zone) > maxName || len(e.Stamps) > maxEntries {
+		return invalid("exchange", "stamps", len(e.Stamps))
+	}
+	for _, s := range e.Stamps {
+		if err := s.check(now); err != nil {
+			return err
+		}
+	}
+	return checkUpdates(now, e.Updates)
+}
+
+func (e *Exchanged) check(now timekeeper.Millis) error {
+	if err := checkFormat(e.Format, "exchanged"); err != nil {
+		return err
+	}
+	if len(e.Wanted) > maxEntries {
+		return invalid("exchanged", "wanted", len(e.Wanted))
+	}
+	return checkUpdates(now, e.Updates)
+}
