--- /dev/null
+++ b/internal/runner/seeder.go
@@ -0,0 +1,110 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+const (
+	// maxSeeds bounds the addresses in the seed object of a data centre.
+	maxSeeds = 8
+	// seedPeriod is the time between two looks of a relay at its data centre's seed object.
+	seedPeriod = 30 * timekeeper.Second
+	// startPause is the time between two looks of a node that no other node has answered yet. It is long compared
+	// with the time a seed object takes to appear, since many nodes may start at once.
+	startPause = 2 * timekeeper.Second
+)
+
+// seeds is the value of a seed object: peer addresses of members of one data centre.
+type seeds struct {
+	Format    int      `json:"format"`
+	Addresses []string `json:"addresses"`
+}
+
+// seeder finds the first other nodes through the platform and keeps the seed object of its data centre current.
+type seeder struct {
+	platform connector.Platform
+	tracker  *tracker.Tracker
+	zone     string
+	peer     string
+	logger   *zap.Logger
+}
+
+// run joins through the seed objects of all data centres, then lets relays keep the own one current.
+func (s *seeder) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := startPause
+		if err := s.step(ctx); err != nil {
+			s.logger.Warn("seed objects are not available", zap.Error(err))
+		} else if s.tracker.Joined() {
+			pause = seedPeriod
+		}
+		// Jitter keeps nodes that start together from calling the platform together.
+		pause += timekeeper.Millis(rand.Int64N(int64(pause)))
+		if connector.Sleep(ctx, pause) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (s *seeder) step(ctx context.Context) error {
+	if s.tracker.Joined() && !s.tracker.IsRelay() {
+		return nil
+	}
+	snapshot, err := s.platform.List(ctx, connector.KindSeed)
+	if err != nil {
+		return err
+	}
+	own := connector.Object{Kind: connector.KindSeed, Name: s.zone}
+	var addresses, listed []string
+	for _, object := range snapshot.Objects {
+		var found seeds
+		if json.Unmarshal(object.Value, &found) != nil || found.Format != 1 || len(found.Addresses) > maxSeeds {
+			s.logger.Warn("a seed object is not valid", zap.String("zone", object.Name))
+			continue
+		}
+		addresses = append(addresses, found.Addresses...)
+		if object.Name == s.zone {
+			own.Revision, listed = object.Revision, found.Addresses
+		}
+	}
+	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == s.peer })
+	if len(addresses) > 0 {
+		s.tracker.Join(addresses)
+	}
+	return s.store(ctx, own, listed)
+}
+
+// store writes the data centre's seed object when too few of its addresses belong to live members.
+func (s *seeder) store(ctx context.Context, own connector.Object, listed []string) error {
+	var live []string
+	for _, member := range s.tracker.Zone(s.zone) {
+		if member.Health == tracker.HealthAlive {
+			live = append(live, member.Peer)
+		}
+	}
+	current := slices.DeleteFunc(slices.Clone(listed), func(address string) bool { return !slices.Contains(live, address) })
+	if len(current) == len(listed) && len(current) >= min(len(live), maxSeeds) {
+		return nil
+	}
+	slices.Sort(live)
+	value, err := json.Marshal(seeds{Format: 1, Addresses: live[:min(len(live), maxSeeds)]})
+	if err != nil {
+		return err
+	}
+	own.Value = value
+	if _, err = s.platform.Put(ctx, own); classifier.CodeOf(err) == classifier.CodeConflict {
+		return nil // another node wrote it; the next look reads that
+	}
+	return err
+}
--- /dev/null
+++ b/internal/runner/server.go
@@ -0,0 +1,60 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Limits of the node's HTTP servers. Idle is longer than the idle time of the node's own HTTP clients, so that a
+// client never sends a request on a connection that the server is about to close.
+const (
+	readHeaderTimeout = 5 * timekeeper.Second
+	idleTimeout       = 2 * timekeeper.Minute
+	maxHeaderBytes    = 64 << 10
+	stopTimeout       = 2 * timekeeper.Second
+)
+
+// server is one listening address of a node.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// listen opens an address. The server answers requests only after serve is called.
+func listen(ctx context.Context, address string, handler http.Handler) (*server, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &server{
+		listener: listener,
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: readHeaderTimeout.Duration(),
+			IdleTimeout:       idleTimeout.Duration(),
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}, nil
+}
+
+// serve answers requests until close is called.
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// close stops listening, lets answers that are being written end, and then closes all connections.
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
