forwarder: claims, retries, isolation and silent connections

Cause: a call whose connection goes silent or breaks must end with a typed outcome by its deadline, and one that must not run twice must not.

Ruled out: a plain ping of the host node while a call waits. It answers over another connection and says nothing of the call; a question about the attempt itself tells queued, running, done and absent apart. Per-call questions are ruled out too: they are batched per host node.

Change: the host node keeps a table of attempts, which an entry node asks through Forwarder.Outcome; an attempt that did not start can be refused for good. Claims, retry budget, isolator and prober are wired in. A run that must not happen twice is not canceled by a lost connection.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -5,23 +5,25 @@
 	"net/http"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // call is one request of a caller at its entry node.
 type call struct {
-	job       job
-	route     router.Route
-	pick      router.Request
-	host      string
-	header    http.Header
-	body      *buffer
-	deadline  timekeeper.Millis
-	inherited bool // the request is part of a retry at an earlier node
+	job          job
+	route        router.Route
+	pick         router.Request
+	host         string
+	header       http.Header
+	body         *buffer
+	deadline     timekeeper.Millis
+	certain      bool // the id was claimed and given back: no attempt of it ran
+	deaths       int  // attempts during which the upstream ended
+	deliverShort bool // takes a truncated answer as whole; set by tests only
+	inherited    bool // the request is part of a retry at an earlier node
 }
 
 // accept matches and validates a request. The call is returned with the error once its id is known.
@@ -44,15 +46,38 @@
 	c.pick = router.Request{
 		Service: c.job.Service, Account: c.job.Account, Call: c.job.Call, Rank: c.job.Order,
 	}
-	if c.job.ID == "" {
-		c.job.ID, c.job.Fresh = newID(now), true
-	} else if err = checkID(c.job.ID, now); err != nil {
+	if err = e.identify(c, now); err != nil {
 		return nil, err
 	}
 	if err = e.limit(c, r, now); err != nil {
 		return c, err
 	}
-	return c, e.readBody(c, r)
+	if err = e.readBody(c, r); err != nil || e.Isolator == nil {
+		return c, err
+	}
+	return c, e.Isolator.Check(isolator.Key{
+		ID: c.job.ID, Account: c.job.Account, Call: c.job.Call, Fingerprint: c.job.Fingerprint,
+	})
+}
+
+// identify checks the id of a request, or makes one.
+func (e *Entry) identify(c *call, now timekeeper.Millis) error {
+	if c.job.ID != "" {
+		if err := checkID(c.job.ID, now); err != nil {
+			return err
+		}
+		if e.Home != nil && !c.job.Idempotent {
+			c.pick.Home = e.Home(c.job.ID, c.job.Account, c.job.Call)
+		}
+		return nil
+	}
+	c.job.Fresh = true
+	if e.Mint != nil && !c.job.Idempotent {
+		c.job.ID = e.Mint(c.job.Account, c.job.Call)
+		return nil
+	}
+	c.job.ID = newID(now)
+	return nil
 }
 
 // limit applies deadline, depth and the rule on internal calls.
@@ -95,14 +120,11 @@
 			return classifier.Refuse(classifier.CodeBodyTooLarge, c.job.Call, "body is over the limit of %d bytes", e.MaxBody)
 		}
 	}
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(c.job.Method)
-	_, _ = digest.WriteString(c.job.URI)
+	var content []byte
 	if c.body != nil {
-		_, _ = digest.Write(c.body.bytes)
+		content = c.body.bytes
 	}
-	c.job.Fingerprint = digest.Sum64()
+	c.job.Fingerprint = isolator.Fingerprint(c.job.Account, c.job.Call, c.job.Method, r.URL.Path, r.URL.RawQuery, content)
 	return nil
 }
 
--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -22,14 +22,22 @@
 	cancel   context.CancelFunc
 	load     admitter.Load
 	reported bool
+	broken   bool              // the exchange ended without a whole response
+	died     bool              // the upstream ended during the run
 	wait     timekeeper.Millis // hint of a refusal
 	finished func()
 }
 
+// failed is an attempt without a response.
 func failed(failure *classifier.Error) *ending {
 	return &ending{failure: failure}
 }
 
+// interrupted is an attempt whose exchange broke.
+func interrupted(failure *classifier.Error) *ending {
+	return &ending{failure: failure, broken: true}
+}
+
 // receive reads a response of a host node. Answers of up to keptBytes are read whole before anything is delivered, so
 // that a truncated one can be retried.
 func receive(ctx context.Context, c *call, response *http.Response, cancel context.CancelFunc) *ending {
@@ -45,10 +53,10 @@
 		limit = end.length
 	}
 	complete, err := readUpTo(end.body, response.Body, end.length, limit)
-	if err != nil {
+	if err != nil && !c.deliverShort {
 		_ = response.Body.Close()
 		end.failure = broken(ctx, c, err)
-		end.failure.Code = classifier.CodeAnswerTruncated
+		end.failure.Code, end.broken = classifier.CodeAnswerTruncated, true
 		return end
 	}
 	if !complete {
@@ -85,6 +93,8 @@
 	reason, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
 	code, err := strconv.Atoi(response.Header.Get(headerCode))
 	wait, _ := decodeMillis(response.Header, headerWait, 0)
+	e.died = response.Header.Get(headerDied) != ""
+	c.certain = c.certain || response.Header.Get(headerCertain) != ""
 	if err != nil || outcome != string(classifier.OutcomeNotRun) {
 		e.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "%s", reason)
 		if err == nil {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
@@ -25,6 +26,10 @@
 	Options
 	matcher   router.Matcher
 	transport *http.Transport
+	watcher   *watcher
+
+	// Switches of mechanisms, set by tests only.
+	noResolve, deliverShort bool
 }
 
 // NewEntry returns the handler of the caller address.
@@ -32,7 +37,9 @@
 	if options.MaxBody <= 0 {
 		options.MaxBody = defaultMaxBody
 	}
-	return &Entry{Options: options, transport: newTransport(options.Dial, 0)}
+	e := &Entry{Options: options, transport: newTransport(options.Dial, 0)}
+	e.watcher = newWatcher(e)
+	return e
 }
 
 // Close closes idle connections to host nodes.
@@ -55,6 +62,7 @@
 	}
 	c, err := e.accept(r)
 	if c != nil {
+		c.deliverShort = e.deliverShort
 		w.Header()[headerID] = []string{c.job.ID}
 		w.Header()[headerVersion] = []string{strconv.FormatUint(c.route.Version, 10)}
 		defer releaseBuffer(c.body)
@@ -65,6 +73,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), (c.deadline - e.Clock.Now()).Duration())
 	defer cancel()
+	if e.Retrier != nil {
+		e.Retrier.First(c.job.Service)
+	}
 	e.run(ctx, w, c)
 }
 
@@ -78,7 +89,7 @@
 			if last == nil {
 				last = failureOf(err)
 			}
-			e.fail(w, last)
+			e.end(w, c, last)
 			return
 		}
 		end := e.attempt(ctx, c, &member)
@@ -87,21 +98,43 @@
 			return
 		}
 		last = end.failure
-		if !e.again(ctx, c, &member, last) {
-			e.fail(w, last)
+		if !e.again(ctx, c, &member, end) {
+			e.end(w, c, last)
 			return
 		}
 	}
 }
 
+// end reports a failure. Where an id from a caller is refused without its claim, an earlier presentation of the id may
+// have run, so "not run" would be a claim about more than this attempt.
+func (e *Entry) end(w http.ResponseWriter, c *call, failure *classifier.Error) {
+	if failure.Outcome == classifier.OutcomeNotRun && !c.job.Fresh && !c.job.Idempotent && !c.certain {
+		copied := *failure
+		copied.Outcome = classifier.OutcomeUnknown
+		failure = &copied
+	}
+	e.fail(w, failure)
+}
+
 // again decides whether a failed attempt is followed by another.
-func (e *Entry) again(ctx context.Context, c *call, member *tracker.Member, failure *classifier.Error) bool {
-	if ctx.Err() != nil || c.job.Attempt > 2 || c.inherited {
+func (e *Entry) again(ctx context.Context, c *call, member *tracker.Member, end *ending) bool {
+	if ctx.Err() != nil || e.Retrier == nil {
 		return false
 	}
-	if failure.Outcome != classifier.OutcomeNotRun && !c.job.Idempotent {
+	if end.died {
+		c.deaths++
+	}
+	// The hint of a refusal is about the member that refused, which the next attempt avoids.
+	decision := e.Retrier.Decide(retrier.Attempt{
+		Service: c.job.Service, Number: c.job.Attempt, Outcome: end.failure.Outcome, Code: end.failure.Code,
+		Idempotent: c.job.Idempotent, Retried: c.inherited, Deaths: c.deaths, Deadline: c.deadline,
+	})
+	if !decision.Retry {
 		return false
 	}
+	if decision.After > 0 {
+		pause(ctx, decision.After)
+	}
 	c.job.Retry = true
 	c.pick.Avoid = append(c.pick.Avoid, member.Name)
 	return true
@@ -139,14 +172,27 @@
 	if remaining <= 2*reserve {
 		return failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
 	}
-	c.job.Remaining = remaining - 2*reserve
+	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
 	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
+	watch := e.watcher.begin(c, member.Peer, cancel)
 	response, err := e.transport.RoundTrip(c.request(bounded, member.Peer))
 	if err != nil {
+		e.watcher.stop(watch)
 		cancel()
-		return failed(broken(ctx, c, err))
+		return e.mend(ctx, c, member, interrupted(broken(ctx, c, err)))
+	}
+	end := receive(ctx, c, response, cancel)
+	e.watcher.stop(watch)
+	return e.mend(ctx, c, member, end)
+}
+
+// mend looks for the outcome of an exchange that broke. An idempotent request is rather sent again.
+func (e *Entry) mend(ctx context.Context, c *call, member *tracker.Member, end *ending) *ending {
+	if !end.broken || end.failure.Outcome != classifier.OutcomeUnknown || c.job.Idempotent {
+		return end
 	}
-	return receive(ctx, c, response, cancel)
+	end.close()
+	return e.resolve(ctx, c, member, end.failure)
 }
 
 // reserveOf is the part of the remaining time that is kept back at each of two places, so that a host node can report
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -6,6 +6,8 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
+	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -13,6 +15,11 @@
 type Host struct {
 	Options
 	transport *http.Transport
+	attempts  *attempts
+	reported  deathCount
+
+	// Switches of mechanisms, set by tests only.
+	noFence, deliverShort bool
 }
 
 // NewHost returns the handler of POST /forward.
@@ -20,7 +27,9 @@
 	if options.MaxBody <= 0 {
 		options.MaxBody = defaultMaxBody
 	}
-	return &Host{Options: options, transport: newTransport(options.Dial, options.Connections)}
+	return &Host{
+		Options: options, transport: newTransport(options.Dial, options.Connections), attempts: newAttempts(),
+	}
 }
 
 // Close closes idle connections to the upstream.
@@ -28,6 +37,18 @@
 	h.transport.CloseIdleConnections()
 }
 
+// run is one attempt at the host node.
+type run struct {
+	*job
+	writer   http.ResponseWriter
+	request  *http.Request
+	key      attemptKey
+	body     *buffer // the request body, when it is short enough to be read before admission
+	deadline timekeeper.Millis
+	claim    deduplicator.Request
+	claimed  bool
+}
+
 // ServeHTTP runs one request that an entry node sent.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if h.Gate != nil {
@@ -37,39 +58,116 @@
 		}
 		defer h.Gate.End()
 	}
-	j, err := decodeJob(r.Header)
+	x, err := h.receive(w, r)
 	if err != nil {
 		h.fail(w, failureOf(err))
 		return
 	}
-	if r.Method != http.MethodPost || r.ContentLength < 0 || r.ContentLength > h.MaxBody {
-		h.fail(w, classifier.Refuse(classifier.CodePeerInvalid, j.Call, "%s with %d bytes", r.Method, r.ContentLength))
+	defer releaseBuffer(x.body)
+	ctx, cancel := context.WithTimeout(r.Context(), x.Remaining.Duration())
+	defer cancel()
+	if err = h.attempts.begin(h.Clock.Now(), x.key, &attempt{
+		cancel: cancel, expires: x.deadline + attemptGrace, suspect: x.suspect(),
+	}); err != nil {
+		h.fail(w, failureOf(err))
 		return
 	}
-	deadline := h.Clock.Now() + j.Remaining
-	ctx, cancel := context.WithTimeout(r.Context(), j.Remaining.Duration())
-	defer cancel()
+	state, code := StateDone, classifier.CodeOK
+	defer func() { h.attempts.end(x.key, state, code) }() // also when a broken answer aborts the handler
+	var failure *classifier.Error
+	if state, failure = h.serve(ctx, x); failure != nil {
+		code = failure.Code
+		h.fail(w, failure)
+	}
+}
+
+// receive decodes and checks the request. A short body is read before admission, so that the server notices when the
+// entry node goes away while the request is queued, and a slow sender holds no slot.
+func (h *Host) receive(w http.ResponseWriter, r *http.Request) (*run, error) {
+	j, err := decodeJob(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	now := h.Clock.Now()
+	if r.Method != http.MethodPost || r.ContentLength < 0 || r.ContentLength > h.MaxBody {
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, j.Call, "%s with %d bytes", r.Method, r.ContentLength)
+	}
+	if now > j.Expires+2*maxSkew {
+		return nil, classifier.Refuse(classifier.CodeDeadlinePassed, j.Call, "the request arrived after its deadline")
+	}
+	x := &run{job: j, writer: w, request: r, key: attemptKey{j.ID, j.Attempt}, deadline: now + j.Remaining}
+	x.claim = deduplicator.Request{
+		ID: j.ID, Attempt: j.Attempt, Host: h.Name, Incarnation: h.Incarnation, Account: j.Account, Call: j.Call,
+		Fresh: j.Fresh, Deadline: x.deadline,
+	}
+	if r.ContentLength > 0 && r.ContentLength <= keptBytes {
+		x.body = buffers.get()
+		if err = fill(x.body, r.Body, r.ContentLength, keptBytes); err != nil {
+			releaseBuffer(x.body)
+			return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "body ended early: %v", err)
+		}
+	}
+	return x, nil
+}
+
+func (x *run) suspect() isolator.Key {
+	return isolator.Key{ID: x.ID, Account: x.Account, Call: x.Call, Fingerprint: x.Fingerprint}
+}
+
+// serve takes a request through isolation, claim, admission and the upstream.
+func (h *Host) serve(ctx context.Context, x *run) (State, *classifier.Error) {
+	if h.Isolator != nil {
+		if err := h.Isolator.Check(x.suspect()); err != nil {
+			return StateNotRun, failureOf(err)
+		}
+	}
+	if served, failure := h.claim(ctx, x); served || failure != nil {
+		return stateOf(failure), failure
+	}
 	release, err := h.Queue.Admit(ctx, admitter.Work{
-		Account: j.Account, Call: j.Call, Order: j.Order, Share: j.Share, Target: j.Target, Deadline: deadline,
+		Account: x.Account, Call: x.Call, Order: x.Order, Share: x.Share, Target: x.Target, Deadline: x.deadline,
 	})
 	if err != nil {
-		h.fail(w, failureOf(err))
-		return
+		h.unclaim(x)
+		return StateNotRun, failureOf(err)
 	}
 	defer release()
-	h.execute(ctx, w, r, j, deadline)
+	generation := uint64(0)
+	if h.Prober != nil {
+		generation = h.Prober.Restarts()
+	}
+	if !h.attempts.start(x.key, generation) && !h.noFence {
+		h.unclaim(x)
+		return StateNotRun, classifier.Refuse(classifier.CodeCanceled, x.Call, "the entry node gave the attempt up")
+	}
+	if !x.Idempotent {
+		// A run that must not happen twice goes on when the entry node is gone: its record then tells the outcome.
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), (x.deadline - h.Clock.Now()).Duration())
+		defer cancel()
+		ctx = bounded
+	}
+	return h.execute(ctx, x, generation)
+}
+
+func stateOf(failure *classifier.Error) State {
+	if failure != nil && failure.Outcome == classifier.OutcomeNotRun {
+		return StateNotRun
+	}
+	return StateDone
 }
 
-// execute runs an admitted request on the upstream and answers.
-func (h *Host) execute(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, j *job, deadline timekeeper.Millis,
-) {
-	answer, failure := h.upstream(ctx, r, j, deadline)
+// execute runs an admitted request on the upstream, records the end and answers.
+func (h *Host) execute(ctx context.Context, x *run, generation uint64) (State, *classifier.Error) {
+	answer, failure := h.upstream(ctx, x)
+	if failure != nil && failure.Outcome == classifier.OutcomeUnknown {
+		h.examine(x, failure, generation)
+	}
+	h.record(x, answer, failure)
 	if failure != nil {
-		h.fail(w, failure)
-		return
+		return stateOf(failure), failure
 	}
-	answer.write(w, j, encodeLoad(h.Queue.Load()))
+	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load()), h.deliverShort)
+	return StateDone, nil
 }
 
 func (h *Host) fail(w http.ResponseWriter, failure *classifier.Error) {
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -13,7 +13,7 @@
 // jobFormat is the version of the Jasmine-Forward header.
 const jobFormat = 1
 
-const jobFields = 14
+const jobFields = 15
 
 // job is what an entry node tells the host node about a request, in the Jasmine-Forward header.
 type job struct {
@@ -27,7 +27,8 @@
 	Target      timekeeper.Millis
 	Remaining   timekeeper.Millis // until the deadline
 	Depth       int
-	Fingerprint uint64 // of method, path, query and body
+	Expires     timekeeper.Millis // the deadline as a point in time, by the clock of the entry node
+	Fingerprint uint64            // of method, path, query and body
 	Account     string
 	Call        string
 	Service     string
@@ -40,7 +41,7 @@
 	text := make([]byte, 0, 128)
 	for _, number := range [...]int64{
 		jobFormat, int64(j.Attempt), flags(j.Idempotent, j.Fresh, j.Retry), int64(j.Order), int64(j.Share),
-		int64(j.Target), int64(j.Remaining), int64(j.Depth),
+		int64(j.Target), int64(j.Remaining), int64(j.Depth), int64(j.Expires),
 	} {
 		text = strconv.AppendInt(text, number, 10)
 		text = append(text, ' ')
@@ -72,23 +73,24 @@
 	if len(words) != jobFields {
 		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "has %d fields", len(words))
 	}
-	var numbers [8]int64
+	var numbers [9]int64
 	for i := range numbers {
 		number, err := strconv.ParseInt(words[i], 10, 64)
-		if err != nil || number < 0 || number > 1<<32 {
+		if err != nil || number < 0 || number > 1<<42 {
 			return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "field %d is %.30q", i, words[i])
 		}
 		numbers[i] = number
 	}
-	fingerprint, err := strconv.ParseUint(words[8], 16, 64)
+	fingerprint, err := strconv.ParseUint(words[9], 16, 64)
 	if err != nil {
-		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "fingerprint is %.30q", words[8])
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "fingerprint is %.30q", words[9])
 	}
 	j := &job{
 		Attempt: int(numbers[1]), Idempotent: numbers[2]&1 != 0, Fresh: numbers[2]&2 != 0, Retry: numbers[2]&4 != 0,
 		Order: int(numbers[3]), Share: int(numbers[4]), Target: timekeeper.Millis(numbers[5]),
-		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Fingerprint: fingerprint,
-		Account: words[9], Call: words[10], Service: words[11], Method: words[12], ID: words[13],
+		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Expires: timekeeper.Millis(numbers[8]),
+		Fingerprint: fingerprint,
+		Account:     words[10], Call: words[11], Service: words[12], Method: words[13], ID: words[14],
 		URI: header.Get(headerTarget),
 	}
 	if !strings.HasPrefix(j.URI, "/") || j.Order >= admitter.Ranks || j.Method == "" || !validID(j.ID) {
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -9,6 +9,9 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
+	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
@@ -46,22 +49,39 @@
 	Restarts() uint64
 }
 
+// Isolator refuses requests that crash upstreams; *isolator.Isolator satisfies it.
+type Isolator interface {
+	Check(key isolator.Key) error
+	Died(keys []isolator.Key, host string)
+}
+
 // Options are the parts that NewEntry and NewHost assemble. Parts that are nil are left out.
 type Options struct {
 	Clock  timekeeper.Clock
 	Logger *zap.Logger
 	Name   string // member name of this node
-	Zone   string
-	Gate   Gate
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
+	// Incarnation is that of the node in the membership table.
+	Incarnation uint64
+	Zone        string
+	Gate        Gate
+	Dial        func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
 
 	// Entry node.
-	Views    Views
-	Picker   *router.Picker
-	Caller   Caller
+	Views   Views
+	Picker  *router.Picker
+	Caller  Caller
+	Retrier *retrier.Retrier
+	// Mint makes the id of a non-idempotent request without one; nil for an id without a mark.
+	Mint func(account, call string) string
+	// Home returns the data centre that remembers an id from a caller; nil for no preference.
+	Home     func(id, account, call string) string
 	Internal string // secret of internal calls; empty refuses them all
 	MaxBody  int64  // bytes of a request body; 0 for 1 MiB
 
+	// Both.
+	Coordinator deduplicator.Coordinator
+	Isolator    Isolator
+
 	// Host node.
 	Queue       *admitter.Queue
 	Prober      Prober
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -10,7 +10,6 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
-	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // answer is the upstream's response: whole in body, or continued in stream when it is longer than keptBytes.
@@ -23,10 +22,9 @@
 }
 
 // upstream runs a request on the upstream. A failure says whether the request may have run.
-func (h *Host) upstream(
-	ctx context.Context, r *http.Request, j *job, deadline timekeeper.Millis,
-) (*answer, *classifier.Error) {
-	request, err := h.build(ctx, r, j, deadline)
+func (h *Host) upstream(ctx context.Context, x *run) (*answer, *classifier.Error) {
+	j := x.job
+	request, err := h.build(ctx, x)
 	if err != nil {
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
@@ -45,11 +43,14 @@
 		_ = response.Body.Close()
 		return a, nil
 	}
-	return a, a.read(j, response)
+	if err = a.read(response); err != nil {
+		return nil, truncated(ctx, j, err)
+	}
+	return a, nil
 }
 
 // read takes the whole answer, or its first part when it is longer than keptBytes.
-func (a *answer) read(j *job, response *http.Response) *classifier.Error {
+func (a *answer) read(response *http.Response) error {
 	a.body = buffers.get()
 	limit := int64(keptBytes)
 	if a.length >= 0 && a.length <= limit {
@@ -59,7 +60,7 @@
 	if err != nil {
 		_ = response.Body.Close()
 		a.close()
-		return classifier.Unknown(classifier.CodeAnswerTruncated, j.Call, "the upstream's answer broke off: %v", err)
+		return err
 	}
 	if !complete {
 		a.stream = response.Body
@@ -70,7 +71,8 @@
 	return nil
 }
 
-func (h *Host) build(ctx context.Context, r *http.Request, j *job, deadline timekeeper.Millis) (*http.Request, error) {
+func (h *Host) build(ctx context.Context, x *run) (*http.Request, error) {
+	r, j := x.request, x.job
 	target, err := url.ParseRequestURI(j.URI)
 	if err != nil {
 		return nil, err
@@ -80,7 +82,7 @@
 	passHeaders(header, r.Header)
 	suppressAgent(header)
 	header[headerID] = []string{j.ID}
-	header[headerDeadline] = []string{strconv.FormatInt(int64(deadline-h.Clock.Now()), 10)}
+	header[headerDeadline] = []string{strconv.FormatInt(int64(x.deadline-h.Clock.Now()), 10)}
 	header[headerDepth] = []string{strconv.Itoa(j.Depth)}
 	if j.Retry {
 		header[headerRetry] = []string{"1"}
@@ -89,6 +91,8 @@
 		Method: j.Method, URL: target, Host: r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	switch {
+	case x.body != nil:
+		request.Body, request.ContentLength = newOnce(x.body.bytes), r.ContentLength
 	case r.ContentLength > 0:
 		request.Body, request.ContentLength = io.NopCloser(r.Body), r.ContentLength
 	case j.Method == http.MethodGet, j.Method == http.MethodHead:
@@ -104,11 +108,19 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "no answer from the upstream by the deadline")
 	}
-	return classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the connection to the upstream broke: %v", err)
+	failure := classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the connection to the upstream broke: %v", err)
+	failure.Cause = &brokenError{err}
+	return failure
+}
+
+func truncated(ctx context.Context, j *job, err error) *classifier.Error {
+	failure := upstreamFailure(ctx, j, err)
+	failure.Code, failure.Outcome = classifier.CodeAnswerTruncated, classifier.OutcomeUnknown
+	return failure
 }
 
 // write sends the answer to the entry node. A long answer that breaks off closes the connection.
-func (a *answer) write(w http.ResponseWriter, j *job, load string) {
+func (a *answer) write(w http.ResponseWriter, j *job, load string, short bool) {
 	defer a.close()
 	header := w.Header()
 	passHeaders(header, a.header)
@@ -127,7 +139,7 @@
 	}
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body.bytes)
-	if a.stream != nil && !stream(w, a.stream, a.length-int64(len(a.body.bytes)), a.length >= 0) {
+	if a.stream != nil && !stream(w, a.stream, a.length-int64(len(a.body.bytes)), a.length >= 0) && !short {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/router/match.go
+++ b/internal/router/match.go
@@ -42,6 +42,19 @@
 	return found.match(host, method, path)
 }
 
+// Account finds the client account of a host in view. It fails with code 201.
+func (m *Matcher) Account(view *compiler.View, host string) (*compiler.Account, error) {
+	found := m.current.Load()
+	if found == nil || found.view != view {
+		found = m.build(view)
+	}
+	account, err := found.find(host)
+	if err != nil {
+		return nil, err
+	}
+	return account.account, nil
+}
+
 func (m *Matcher) build(view *compiler.View) *index {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -85,13 +98,21 @@
 	return built
 }
 
-func (x *index) match(host, method, target string) (Route, error) {
+func (x *index) find(host string) (*hostIndex, error) {
 	found := x.hosts[host]
 	if found == nil {
 		found = x.hosts[hostName(host)]
 	}
 	if found == nil {
-		return Route{}, classifier.Refuse(classifier.CodeUnknownHost, host, "no client account has this host")
+		return nil, classifier.Refuse(classifier.CodeUnknownHost, host, "no client account has this host")
+	}
+	return found, nil
+}
+
+func (x *index) match(host, method, target string) (Route, error) {
+	found, err := x.find(host)
+	if err != nil {
+		return Route{}, err
 	}
 	// An upstream that resolves dot segments would run another call than the one that was matched.
 	prefix := trimSlash(target)
