Add the administration API

Cause: operators and client accounts need to check, apply and inspect configuration on any node, each within what their token covers.

Ruled out: keeping old views in memory for diff, because nodes keep no state; Publisher.Version reads them from the platform. Using an account's operation id as given, because an account that repeats another's id would get the decision on it; ids of an account carry a prefix of their own.

Change: handlers over small interfaces; tokens by digest, asked again after 30 s and kept for 60 min while the platform does not answer; refusals with code, log line and audit entry (20 at once, then one per 5 s and class); answers to an account hide other accounts. /metrics needs an operator token. The loader's names follow the compiler's (no dots), since zones and services must match views.

--- /dev/null
+++ b/internal/administrator/refusal_test.go
@@ -0,0 +1,190 @@
+package administrator
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+)
+
+// Guards against a refusal with the wrong code or status, without an audit entry, or with an effect.
+func TestEachRefusalIsNumberedAndAudited(t *testing.T) {
+	w := newWorld(t)
+	base := w.revision(t, "account.ochre")
+	valid := edit(t, "account.ochre", accountText("ochre", "slots: 7"), base)
+	both := encode(t, Change{Edits: []publisher.Edit{
+		{Name: "account.ochre", Value: accountText("ochre", ""), Base: base}, {Name: "template.ledger", Value: "x", Base: 1},
+	}})
+	remove := encode(t, Change{Edits: []publisher.Edit{{Name: "account.ochre", Base: base, Delete: true}}})
+	digest := Digest("new")
+	large := `{"operation":"` + strings.Repeat("x", maxBodyBytes) + `"}`
+	late := edit(t, "account.ochre", accountText("ochre", ""), base+1)
+	wrong := edit(t, "account.ochre", accountText("ochre", "slots: 0"), base)
+	issued := encode(t, Grant{Digest: Digest(wickToken), Name: "a"})
+	misnamed := encode(t, Grant{Digest: digest, Name: "a", Account: "/"})
+	cases := []struct {
+		method, path, token, body string
+		status                    int
+		code                      classifier.Code
+	}{
+		{"POST", "/v1/apply", "", valid, 401, classifier.CodeTokenMissing},
+		{"POST", "/v1/apply", "wrong", valid, 401, classifier.CodeTokenMissing},
+		{"POST", "/v1/apply", strings.Repeat("x", maxTokenBytes+1), valid, 401, classifier.CodeTokenMissing},
+		{"GET", "/v1/status", "", "", 401, classifier.CodeTokenMissing},
+		{"GET", "/metrics", "", "", 401, classifier.CodeTokenMissing},
+		{"GET", "/v1/nothing", "", "", 401, classifier.CodeTokenMissing},
+		{"POST", "/v1/apply", wickToken, valid, 403, classifier.CodeTokenScope},
+		{"POST", "/v1/check", wickToken, valid, 403, classifier.CodeTokenScope},
+		{"POST", "/v1/apply", ochreToken, both, 403, classifier.CodeTokenScope},
+		{"POST", "/v1/apply", ochreToken, remove, 403, classifier.CodeTokenScope},
+		{"GET", "/v1/render?source=account.ochre", wickToken, "", 403, classifier.CodeTokenScope},
+		{"GET", "/v1/render?source=template.ledger", wickToken, "", 403, classifier.CodeTokenScope},
+		{"POST", "/v1/drain", ochreToken, "", 403, classifier.CodeTokenScope},
+		{"GET", "/metrics", ochreToken, "", 403, classifier.CodeTokenScope},
+		{"GET", "/v1/token", ochreToken, "", 403, classifier.CodeTokenScope},
+		{"POST", "/v1/token", ochreToken, encode(t, Grant{Digest: digest, Name: "x"}), 403, classifier.CodeTokenScope},
+		{"DELETE", "/v1/token?digest=" + digest, ochreToken, "", 403, classifier.CodeTokenScope},
+		{"POST", "/v1/apply", ochreToken, `{"edits":[],"extra":1}`, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, `{"edits":[]}`, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, valid + "{}", 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, "", 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, `{"operation":"a b",` + valid[1:], 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply?wait=x", ochreToken, valid, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply?later=1", ochreToken, valid, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, large, 413, classifier.CodeTooLarge},
+		{"POST", "/v1/apply", ochreToken, late, 409, classifier.CodeEditConflict},
+		{"POST", "/v1/apply", ochreToken, wrong, 422, classifier.CodeSetRefused},
+		{"POST", "/v1/check", ochreToken, wrong, 422, classifier.CodeSourceInvalid},
+		{"GET", "/v1/render?source=x", bootstrap, "", 400, classifier.CodeBadRequest},
+		{"GET", "/v1/render?source=account.none", bootstrap, "", 404, classifier.CodeObjectMissing},
+		{"GET", "/v1/render?version=77", bootstrap, "", 404, classifier.CodeVersionMissing},
+		{"GET", "/v1/diff", bootstrap, "", 400, classifier.CodeBadRequest},
+		{"GET", "/v1/diff?from=77", bootstrap, "", 404, classifier.CodeVersionMissing},
+		{"GET", "/v1/audit?limit=1001", bootstrap, "", 400, classifier.CodeBadRequest},
+		{"GET", "/v1/audit?limit=1&limit=2", bootstrap, "", 400, classifier.CodeBadRequest},
+		{"POST", "/v1/token", bootstrap, `{"digest":"x","name":"x"}`, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/token", bootstrap, encode(t, Grant{Digest: digest, Name: "A"}), 400, classifier.CodeBadRequest},
+		{"POST", "/v1/token", bootstrap, misnamed, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/token", bootstrap, issued, 409, classifier.CodeConflict},
+		{"DELETE", "/v1/token?digest=x", bootstrap, "", 400, classifier.CodeBadRequest},
+		{"DELETE", "/v1/token?digest=" + digest, bootstrap, "", 404, classifier.CodeObjectMissing},
+		{"GET", "/v1/apply", bootstrap, "", 400, classifier.CodeBadRequest},
+	}
+	for _, c := range cases {
+		w.manual.Advance(60_000) // refills the limit of audit entries
+		before := len(w.audited.entries)
+		recorder := w.send(c.method, c.path, c.token, c.body)
+		if got := codeIn(t, recorder); got != c.code || recorder.Code != c.status {
+			t.Errorf("%s %s: code %d, status %d; want %d, %d: %s", c.method, c.path, got, recorder.Code, c.code, c.status,
+				recorder.Body)
+		}
+		if entry := w.audited.last(); len(w.audited.entries) != before+1 || entry.Code != c.code || entry.Reason == "" {
+			t.Errorf("%s %s: %d new audit entries, the last is %+v", c.method, c.path, len(w.audited.entries)-before, entry)
+		}
+	}
+	if after := w.revision(t, "account.ochre"); after != base || w.drained > 0 {
+		t.Errorf("a refused request had an effect: revision %d became %d, %d drains", base, after, w.drained)
+	}
+}
+
+// Guards against a conflict that hides one of the revisions or the fields in which the two edits differ.
+func TestConflictShowsBothRevisionsAndFields(t *testing.T) {
+	w := newWorld(t)
+	base := w.revision(t, "account.ochre")
+	w.expect(t, http.StatusOK, "POST", "/v1/apply", ochreToken, edit(t, "account.ochre", accountText("ochre", ""), base))
+	current := w.revision(t, "account.ochre")
+	text := strings.Replace(accountText("ochre", ""), "ochre.example", "other.example", 1)
+	var failure ReplyError
+	late := edit(t, "account.ochre", text, base)
+	decode(t, w.expect(t, http.StatusConflict, "POST", "/v1/apply", ochreToken, late), &failure)
+	if len(failure.Conflicts) != 1 || failure.Operation == "" {
+		t.Fatalf("failure is %+v", failure)
+	}
+	conflict := failure.Conflicts[0]
+	if conflict.Base != base || conflict.Current != current || conflict.Name != "account.ochre" {
+		t.Errorf("conflict is %+v, want revisions %d and %d", conflict, base, current)
+	}
+	if len(conflict.Differences) != 1 || conflict.Differences[0].Path != "host" ||
+		conflict.Differences[0].Before != "ochre.example" || conflict.Differences[0].After != "other.example" {
+		t.Errorf("differences are %+v", conflict.Differences)
+	}
+}
+
+// Guards against one client account learning the name or the values of another, also by reusing its operation id.
+func TestAccountSeesNothingOfOthers(t *testing.T) {
+	w := newWorld(t)
+	base := w.revision(t, "account.wick")
+	w.expect(t, http.StatusOK, "POST", "/v1/apply", ochreToken,
+		named(t, "same", "account.ochre", accountText("ochre", ""), w.revision(t, "account.ochre")))
+	stolen := strings.Replace(accountText("wick", ""), "wick.example", "ochre.example", 1)
+	get := func(status int, method, path, body string) string {
+		return w.expect(t, status, method, path, wickToken, body).Body.String()
+	}
+	bodies := []string{
+		get(422, "POST", "/v1/check", edit(t, "account.wick", stolen, base)),
+		get(422, "POST", "/v1/apply", named(t, "same", "account.wick", stolen, base)),
+		get(422, "POST", "/v1/apply", edit(t, "account.wick", accountText("wick", "slots: 9"), base)),
+		get(200, "GET", "/v1/status", ""),
+		get(200, "GET", "/v1/audit", ""),
+		get(200, "GET", "/v1/render", ""),
+		get(200, "GET", "/v1/diff?from=1", ""),
+	}
+	for _, body := range bodies {
+		if strings.Contains(body, "account.ochre") || strings.Contains(body, `"ochre"`) {
+			t.Errorf("the answer names another account: %s", body)
+		}
+	}
+	if !strings.Contains(bodies[0], "another account") || !strings.Contains(bodies[4], "account.wick:ana") {
+		t.Errorf("the account does not see its own part: %s %s", bodies[0], bodies[4])
+	}
+}
+
+// Guards against a flood of refused requests that fills the audit trail or hides the refusals of others in it.
+func TestAuditOfRefusalsIsLimitedByClass(t *testing.T) {
+	w := newWorld(t)
+	for range refusalBurst + 7 {
+		w.send("POST", "/v1/apply", "", "")
+	}
+	if len(w.audited.entries) != refusalBurst {
+		t.Fatalf("%d refusals are in the trail, want %d", len(w.audited.entries), refusalBurst)
+	}
+	w.send("POST", "/v1/drain", ochreToken, "")
+	if last := w.audited.last(); last.Actor != "account.ochre:ana" {
+		t.Fatalf("the refusal of an account is hidden: %+v", last)
+	}
+	w.manual.Advance(60_000)
+	w.send("POST", "/v1/apply", "", "")
+	want := auditor.Entry{
+		Time: w.manual.Clock().Now(), Actor: "unknown", Action: "refuse POST /v1/apply", Subject: "token",
+		Code: classifier.CodeTokenMissing,
+		Reason: "the request has no bearer token (7 refusals before this one are not in the trail), " +
+			"from 192.0.2.1",
+	}
+	if diff := cmp.Diff(want, w.audited.last()); diff != "" {
+		t.Fatalf("entry differs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a body that crashes a handler, or is refused without a code of the table.
+func FuzzBody(f *testing.F) {
+	w := newWorld(f)
+	f.Add("/v1/apply", `{"operation":"a","edits":[{"name":"account.ochre","value":"x","base":1,"delete":true}]}`)
+	f.Add("/v1/check", `{"edits":[{"name":"account.ochre","value":"account: ochre\nvalues: {a: [1]}","base":3}]}`)
+	f.Add("/v1/check", `{"edits":[null,{"base":-1}]}`)
+	f.Add("/v1/token", `{"digest":"00","name":"ana","account":"ochre"}`)
+	f.Add("/v1/apply", `[[[`)
+	f.Fuzz(func(t *testing.T, path, body string) {
+		if path != "/v1/apply" && path != "/v1/check" && path != "/v1/token" {
+			return
+		}
+		recorder := w.send("POST", path+"?wait=0", ochreToken, body)
+		if recorder.Code >= 400 && codeIn(t, recorder) == classifier.CodeOK {
+			t.Fatalf("status %d has no code: %s", recorder.Code, recorder.Body)
+		}
+	})
+}
--- /dev/null
+++ b/internal/administrator/token.go
@@ -0,0 +1,83 @@
+package administrator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// tokenFormat is the format number of a stored token.
+const tokenFormat = 1
+
+// maxTokenBytes bounds a bearer token in a request, before it is hashed.
+const maxTokenBytes = 512
+
+var (
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	holderPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+)
+
+// Token describes a bearer token. The platform stores it under the token's digest and never sees the token itself.
+type Token struct {
+	Format  int               `json:"format"`
+	Name    string            `json:"name"`              // who holds the token
+	Account string            `json:"account,omitempty"` // client account; empty for an operator
+	Author  string            `json:"author"`
+	Created timekeeper.Millis `json:"created"`
+}
+
+// Digest returns the SHA-256 of a token in hexadecimal.
+func Digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (t *Token) principal() Principal {
+	return Principal{Name: t.Name, Account: t.Account, Operator: t.Account == ""}
+}
+
+// check returns the first reason why the token is malformed.
+func (t *Token) check() error {
+	switch {
+	case !holderPattern.MatchString(t.Name):
+		return malformed("name", "the value must have lower-case letters, digits, dots and hyphens only, at most 63")
+	case t.Account != "" && !compiler.IsSourceName(compiler.AccountPrefix+t.Account):
+		return malformed("account", "the value is not the name of a client account")
+	}
+	return nil
+}
+
+// decodeToken reads a stored token. An unreadable one grants nothing, rather than what an empty account would.
+func decodeToken(content []byte) (Token, error) {
+	var token Token
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&token); err != nil {
+		return Token{}, classifier.Wrap(classifier.CodePlatformReply, "token", err)
+	}
+	if token.Format != tokenFormat {
+		return Token{}, classifier.New(classifier.CodePlatformReply, "token", "format is %d, not %d",
+			token.Format, tokenFormat)
+	}
+	if err := token.check(); err != nil {
+		return Token{}, classifier.Wrap(classifier.CodePlatformReply, "token", err)
+	}
+	return token, nil
+}
+
+// bearer returns the token of a request, or empty.
+func bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -12,12 +12,12 @@
 	"github.com/go-playground/validator/v10"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // rules states what each validator tag asks for, as the end of the sentence "the value must ...".
 var rules = map[string]string{
 	"required":   "be set",
-	"name":       "have lower-case letters, digits, dots and hyphens only, at most 63",
+	"name":       "have lower-case letters, digits and hyphens only, at most 63",
 	"endpoint":   "be an IP address and a port, such as 10.0.0.1:8000",
 	"digest":     "be a SHA-256 digest of 64 hexadecimal digits in lower case",
 	"http_url":   "be an http or https URL",
