--- /dev/null
+++ b/internal/commander/client.go
@@ -0,0 +1,155 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/administrator"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+const (
+	nodeFlag    = "node"
+	tokenFlag   = "token-file"
+	timeoutFlag = "timeout"
+	outputFlag  = "output"
+
+	defaultNode = "http://127.0.0.1:8200"
+	// defaultTimeout is above the time that a node takes for an apply at most (30 s) and the wait after it.
+	defaultTimeout = 70 * timekeeper.Second
+	// maxReplyBytes bounds a reply. A view of 3,500 accounts with 10 calls each has about 10 MB.
+	maxReplyBytes = 64 << 20
+	maxTokenBytes = 512
+)
+
+// clientFlags are the flags of the commands that talk to a node. The token has no flag of its own, because other
+// users of the server can see the arguments of a process.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append(more,
+		&cli.StringFlag{
+			Name: nodeFlag, Usage: "base `URL` of the node's admin address [$JASMINE_NODE]", DefaultText: defaultNode,
+		},
+		&cli.StringFlag{Name: tokenFlag, Usage: "`FILE` with the bearer token; without it $JASMINE_TOKEN is used"},
+		&cli.Int64Flag{Name: timeoutFlag, Usage: "deadline of a request, in ms", Value: int64(defaultTimeout)},
+		formatFlag(),
+	)
+}
+
+// client sends administration requests to one node.
+type client struct {
+	base    string
+	token   string
+	timeout timekeeper.Millis
+}
+
+func (p *program) client(c *cli.Command) (*client, error) {
+	base := c.String(nodeFlag)
+	if base == "" {
+		base = p.variable("JASMINE_NODE")
+	}
+	if base == "" {
+		base = defaultNode
+	}
+	address, err := url.Parse(base)
+	if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+		return nil, &usageError{cause: fmt.Errorf("%q is not an http or https URL", base)}
+	}
+	token, err := p.token(c.String(tokenFlag))
+	if err != nil {
+		return nil, err
+	}
+	timeout := timekeeper.Millis(c.Int64(timeoutFlag))
+	return &client{base: strings.TrimRight(base, "/"), token: token, timeout: timeout}, nil
+}
+
+func (p *program) token(path string) (string, error) {
+	if path == "" {
+		return strings.TrimSpace(p.variable("JASMINE_TOKEN")), nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return "", &usageError{cause: err}
+	}
+	defer func() { _ = file.Close() }()
+	content, err := io.ReadAll(io.LimitReader(file, maxTokenBytes))
+	if err != nil {
+		return "", &usageError{cause: err}
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
+// call sends one request and decodes the reply into target, unless target is nil. A refusal is a
+// *administrator.ReplyError. A node that does not answer gives CodePeerTimeout or CodePeerClosed.
+func (c *client) call(ctx context.Context, method, path string, body, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
+	defer cancel()
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return c.unreached(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return c.unreached(ctx, err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return c.refusal(response.StatusCode, content)
+	}
+	if target == nil {
+		return nil
+	}
+	if err := json.Unmarshal(content, target); err != nil {
+		return classifier.Wrap(classifier.CodePeerInvalid, c.base, err)
+	}
+	return nil
+}
+
+func (c *client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	var reader io.Reader = http.NoBody
+	if body != nil {
+		content, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		reader = bytes.NewReader(content)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	return request, nil
+}
+
+func (c *client) unreached(ctx context.Context, err error) error {
+	code := classifier.CodePeerClosed
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = classifier.CodePeerTimeout
+	}
+	return classifier.Wrap(code, c.base, err)
+}
+
+func (c *client) refusal(status int, content []byte) error {
+	var failure administrator.ReplyError
+	if err := json.Unmarshal(content, &failure); err != nil || failure.Code == classifier.CodeOK {
+		return classifier.New(classifier.CodePeerInvalid, c.base, "the node answered status %d without a result code", status)
+	}
+	return &failure
+}
--- /dev/null
+++ b/internal/commander/client_test.go
@@ -0,0 +1,188 @@
+package commander
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/administrator"
+	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/meter"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// node stands in for the parts of a node that the administration API reads.
+type node struct {
+	publisher *publisher.Publisher
+	entries   []auditor.Entry
+	stale     bool // versions come into force no more
+	drained   int
+}
+
+func (n *node) Active() *compiler.View {
+	head, err := n.publisher.Head(context.Background())
+	if err != nil || n.stale {
+		return &compiler.View{}
+	}
+	view, err := n.publisher.Version(context.Background(), head.Version)
+	if err != nil {
+		return nil
+	}
+	return &view
+}
+func (n *node) Ready() bool   { return true }
+func (n *node) Known() uint64 { return n.Active().Version }
+func (n *node) Floor() uint64 { return 0 }
+func (n *node) Zone(string) []tracker.Member {
+	return []tracker.Member{{Name: "a", State: tracker.StateReady}}
+}
+func (n *node) Relays(string) []tracker.Member                { return []tracker.Member{{Name: "a"}} }
+func (n *node) Record(_ context.Context, entry auditor.Entry) { n.entries = append(n.entries, entry) }
+func (n *node) List(context.Context, int) ([]auditor.Entry, error) {
+	return n.entries, nil
+}
+
+func startNode(t *testing.T) (*node, *httptest.Server) {
+	t.Helper()
+	platform, clock := faker.NewPlatform(), timekeeper.Manual(1_000_000).Clock()
+	n := &node{}
+	n.publisher = publisher.New(publisher.Options{
+		Platform: platform, Clock: clock, Random: rand.New(rand.NewPCG(1, 2)), Node: "libro-1",
+	})
+	server := httptest.NewServer(administrator.New(administrator.Options{
+		Platform: platform, Publisher: n.publisher, Auditor: n, Views: n, Members: n, Metrics: meter.New(),
+		Marks: func() []administrator.Mark {
+			return []administrator.Mark{{Account: "ochre", Call: "weigh", Kind: "id", Until: 2_000_000}}
+		},
+		Draining: func() bool { return n.drained > 0 }, Drain: func() { n.drained++ },
+		Node:     administrator.Node{Name: "libro-1", Zone: "vereda-alta", Service: "libro-socios"},
+		Operator: administrator.Digest("secret"), Clock: clock, Logger: zap.NewNop(),
+	}))
+	t.Cleanup(server.Close)
+	return n, server
+}
+
+// Guards against a change of what operators see, of the exit codes, and of the steps from the first change to a
+// conflict and its end.
+func TestOperatorSession(t *testing.T) {
+	_, server := startNode(t)
+	directory := t.TempDir()
+	edited := filepath.Join(directory, "account.ochre.yaml")
+	edit := func(from, to string) {
+		content, err := os.ReadFile(edited)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(edited, []byte(strings.Replace(string(content), from, to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var transcript strings.Builder
+	run := func(arguments string) string {
+		s := newSession("JASMINE_NODE="+server.URL, "JASMINE_TOKEN=secret")
+		code := s.execute(t, strings.Fields(arguments)...)
+		printed := s.output.String() + s.errors.String()
+		shown := strings.NewReplacer(server.URL, "URL", directory, "DIR").Replace("$ " + arguments + "\n" + printed)
+		transcript.WriteString(shown + "exit " + strconv.Itoa(code) + "\n")
+		return s.output.String()
+	}
+	run("apply --operation first testdata/template.ledger.yaml testdata/account.ochre.yaml")
+	if err := os.WriteFile(edited, []byte(run("render --source account.ochre")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	edit("vereda-baja]", "vereda-baja], slots: 7")
+	run("apply --dry " + edited)
+	run("apply --operation second " + edited)
+	run("apply --operation second " + edited)
+	run("render --diff 1")
+	edit("slots: 7", "slots: 8")
+	run("apply --operation third " + edited)
+	run("apply --operation fourth --output json " + edited)
+	edit("slots: 8", "slots: 0")
+	run("apply --operation fifth --base account.ochre=1 " + edited)
+	run("apply --operation sixth --delete account.ochre")
+	run("render")
+	run("render --version 9")
+	run("status")
+	run("audit")
+	run("token list")
+	run("token revoke " + strings.Repeat("0", 64))
+	run("drain")
+	run("status --output json")
+	compareGolden(t, "session.golden", transcript.String())
+}
+
+// Guards against a token that leaves the client, and a created token that does not work or cannot be revoked.
+func TestTokenCommands(t *testing.T) {
+	_, server := startNode(t)
+	run := func(token string, want int, arguments ...string) string {
+		t.Helper()
+		s := newSession("JASMINE_NODE="+server.URL, "JASMINE_TOKEN="+token)
+		if code := s.execute(t, arguments...); code != want {
+			t.Fatalf("%v: exit code is %d: %s", arguments, code, s.errors.String())
+		}
+		return s.output.String()
+	}
+	fields := strings.Fields(run("secret", exitOK, "token", "create", "--name", "ana", "--account", "ochre"))
+	token, digest := fields[1], fields[3]
+	if administrator.Digest(token) != digest {
+		t.Fatalf("the digest of %s is not %s", token, digest)
+	}
+	path := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(path, []byte(token+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run("wrong", exitOK, "status", "--token-file", path)
+	run(token, 14, "drain")
+	if list := run("secret", exitOK, "token", "list"); strings.Contains(list, token) || !strings.Contains(list, digest) {
+		t.Fatalf("list is %s", list)
+	}
+	run("secret", exitOK, "token", "revoke", digest)
+	run(token, 14, "status")
+	if other := strings.Fields(run("", exitOK, "token", "new"))[1]; other == token {
+		t.Fatal("two tokens are the same")
+	}
+}
+
+// Guards against an accepted version that counts as in force, and a lost answer without the way to repeat.
+func TestApplyTellsWhatIsNotCertain(t *testing.T) {
+	n, server := startNode(t)
+	n.stale = true
+	s := newSession("JASMINE_NODE="+server.URL, "JASMINE_TOKEN=secret")
+	arguments := []string{"apply", "--wait", "1", "--operation", "one", "testdata/template.ledger.yaml"}
+	if code := s.execute(t, arguments...); code != 11 || !strings.Contains(s.errors.String(), "code 111") ||
+		!strings.Contains(s.output.String(), "accepted version 1") {
+		t.Fatalf("exit code is %d: %s%s", code, s.output.String(), s.errors.String())
+	}
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(broken.Close)
+	s = newSession("JASMINE_NODE=" + broken.URL)
+	if code := s.execute(t, arguments...); code != 13 || !strings.Contains(s.errors.String(), "--operation one") {
+		t.Fatalf("exit code is %d: %s", code, s.errors.String())
+	}
+}
+
+// Guards against control characters from a stranger's request that reach the operator's terminal.
+func TestOutputHasNoControlCharacters(t *testing.T) {
+	n, server := startNode(t)
+	n.entries = []auditor.Entry{{Actor: "unknown", Action: "refuse GET /\x1b[2J\nfalse line", Code: 401}}
+	s := newSession("JASMINE_NODE="+server.URL, "JASMINE_TOKEN=secret")
+	s.execute(t, "audit")
+	if strings.ContainsRune(s.output.String(), '\x1b') || strings.Count(s.output.String(), "\n") != 1 {
+		t.Fatalf("output is %q", s.output.String())
+	}
+}
--- a/internal/commander/program.go
+++ b/internal/commander/program.go
@@ -45,6 +45,12 @@
 		Commands: []*cli.Command{
 			p.nodeCommand(),
 			p.checkCommand(),
+			p.applyCommand(),
+			p.statusCommand(),
+			p.auditCommand(),
+			p.renderCommand(),
+			p.drainCommand(),
+			p.tokenCommand(),
 		},
 	}
 }
