--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -40,14 +40,17 @@
 	return list
 }
 
-// Guards against lines without the prefix of their part, also after With, and against levels that leak through.
+// Guards against lines without the prefix of their part or with it twice, and against levels that leak through.
 func TestPartPrefixesEachLine(t *testing.T) {
 	base, output := newLogger(t)
 	part := Part(base, "relayer")
 	part.Info("offer sent")
 	part.With(zap.Int("version", 3)).Warn("offer refused")
 	part.Debug("hidden")
-	want := []string{"relayer: offer sent suppressed=0", "relayer: offer refused suppressed=0"}
+	part.Info("relayer: watch ended")
+	want := []string{
+		"relayer: offer sent suppressed=0", "relayer: offer refused suppressed=0", "relayer: watch ended suppressed=0",
+	}
 	if diff := cmp.Diff(want, messages(t, output)); diff != "" {
 		t.Fatalf("lines differ (-want +got):\n%s", diff)
 	}
--- a/internal/logger/prefixed.go
+++ b/internal/logger/prefixed.go
@@ -1,8 +1,12 @@
 package logger
 
-import "go.uber.org/zap/zapcore"
+import (
+	"strings"
 
-// prefixed is a core that puts a prefix before each message.
+	"go.uber.org/zap/zapcore"
+)
+
+// prefixed is a core that puts a prefix before each message that does not have it yet.
 type prefixed struct {
 	zapcore.Core
 	prefix string
@@ -23,6 +27,8 @@
 
 // Write implements zapcore.Core.
 func (p *prefixed) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	entry.Message = p.prefix + entry.Message
+	if !strings.HasPrefix(entry.Message, p.prefix) {
+		entry.Message = p.prefix + entry.Message
+	}
 	return p.Core.Write(entry, fields)
 }
