Assemble the node, add the bench stand-ins and the measurements' drivers

Cause: the parts need one process that runs them, and stand-ins to measure it with. Ruled out: starting upstreams or callers from a node, since a process of the system starts no other process. Before: no node could be started.

--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -5,15 +5,8 @@
 	"errors"
 
 	"github.com/urfave/cli/v3"
-
-	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 )
 
-// runNode runs a node until its context ends. It has the type of runner.Run.
-var runNode = func(context.Context, loader.Settings) error {
-	return errors.New("this build has no runner")
-}
-
 func (p *program) nodeCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "node",
--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/runner"
 )
 
 // Run runs the command line and returns the exit code of the process. SIGTERM and SIGINT end the command's context.
@@ -17,7 +19,7 @@
 		output:      os.Stdout,
 		errors:      os.Stderr,
 		environment: os.Environ(),
-		run:         runNode,
+		run:         runner.Run,
 	}
 	return p.execute(ctx, arguments)
 }
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -29,15 +30,18 @@
 
 // Options are the limits of a Client.
 type Options struct {
-	URL     string            // base address, such as http://127.0.0.1:7000
-	Rate    float64           // calls per second
-	Burst   int               // calls that may be made at once
-	Timeout timekeeper.Millis // deadline of one call, without the wait of a watch
+	URL     string                                                               // base address, such as http://127.0.0.1:7000
+	Rate    float64                                                              // calls per second
+	Burst   int                                                                  // calls that may be made at once
+	Timeout timekeeper.Millis                                                    // deadline of one call, without the wait of a watch
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
 }
 
 // NewClient returns a client of the object API.
 func NewClient(options Options) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: (30 * timekeeper.Second).Duration()}
+	transport := &http.Transport{
+		DialContext: options.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: (30 * timekeeper.Second).Duration(),
+	}
 	return &Client{
 		base:    strings.TrimRight(options.URL, "/"),
 		client:  &http.Client{Transport: transport},
--- a/internal/faker/route.go
+++ b/internal/faker/route.go
@@ -4,6 +4,7 @@
 type route struct {
 	fromZone, fromMember string
 	toZone, toMember     string
+	number               uint64 // of the connection, from 1; 0 while it is dialed
 }
 
 func (r route) local() bool {
--- a/internal/faker/topology.go
+++ b/internal/faker/topology.go
@@ -19,6 +19,8 @@
 	cuts    map[string]struct{} // data centres that reach no other one
 	paused  map[string]struct{} // members that neither send nor receive
 	changed chan struct{}       // closed when cuts or paused change
+	silent  uint64              // connections numbered up to this carry nothing any more
+	conns   uint64              // connections so far
 	random  *rand.Rand
 	within  atomic.Int64
 	between atomic.Int64
@@ -65,6 +67,15 @@
 	n.change(n.paused, member, pause)
 }
 
+// Silence makes all open connections go silent for good; new ones work.
+func (n *Topology) Silence() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.silent = n.conns
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 // Within returns the bytes sent so far inside data centres.
 func (n *Topology) Within() int64 { return n.within.Load() }
 
@@ -85,6 +96,10 @@
 		if err != nil {
 			return nil, err
 		}
+		n.mutex.Lock()
+		n.conns++
+		route.number = n.conns
+		n.mutex.Unlock()
 		return newConn(conn, n, route), nil
 	}
 }
@@ -119,6 +134,9 @@
 func (n *Topology) blocked(r route) (bool, <-chan struct{}) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	if r.number > 0 && r.number <= n.silent {
+		return true, n.changed
+	}
 	if _, ok := n.paused[r.fromMember]; ok {
 		return true, n.changed
 	}
--- /dev/null
+++ b/internal/runner/node.go
@@ -0,0 +1,223 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/administrator"
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
+	"github.com/jasmineproxy/jasmineproxy/internal/drainer"
+	"github.com/jasmineproxy/jasmineproxy/internal/follower"
+	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
+	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
+	"github.com/jasmineproxy/jasmineproxy/internal/logger"
+	"github.com/jasmineproxy/jasmineproxy/internal/messenger"
+	"github.com/jasmineproxy/jasmineproxy/internal/meter"
+	"github.com/jasmineproxy/jasmineproxy/internal/prober"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+	"github.com/jasmineproxy/jasmineproxy/internal/relayer"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
+	"github.com/jasmineproxy/jasmineproxy/internal/router"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// Node is one assembled node.
+type Node struct {
+	settings loader.Settings
+	edges    Edges
+	logger   *zap.Logger
+	meter    *meter.Meter
+	platform connector.Platform
+	traffic  *messenger.Traffic
+	client   *messenger.Client
+	rpc      *messenger.Server
+
+	Tracker   *tracker.Tracker
+	Follower  *follower.Follower
+	Publisher *publisher.Publisher
+
+	relayer      *relayer.Relayer
+	seeder       *seeder
+	auditor      *auditor.Auditor
+	deduplicator *deduplicator.Service
+	isolator     *isolator.Isolator
+	queue        *admitter.Queue
+	prober       *prober.Prober
+	drainer      *drainer.Drainer
+	entry        *forwarder.Entry
+	host         *forwarder.Host
+	admin        http.Handler
+	joined       atomic.Int64 // when the node first knew the other members, in ms; 0 before
+	stop         chan struct{}
+	stopping     atomic.Bool
+	kill         chan struct{}
+	killed       atomic.Bool
+}
+
+// New assembles a node. It opens no address and makes no connection; Run does.
+func New(settings loader.Settings, edges Edges) (*Node, error) {
+	log, err := logger.New(settings.Log, edges.Log)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: settings, edges: edges, logger: log.With(zap.String("node", settings.Name)), meter: meter.New(),
+		traffic: &messenger.Traffic{}, stop: make(chan struct{}), kill: make(chan struct{}),
+	}
+	n.addTransport()
+	n.addMembership()
+	n.addConfiguration()
+	n.addRequests()
+	n.addAdministration()
+	n.Tracker.Join(settings.Seeds)
+	return n, n.register()
+}
+
+func (n *Node) part(name string) *zap.Logger {
+	return logger.Part(n.logger, name)
+}
+
+func (n *Node) addTransport() {
+	settings := n.settings.Platform
+	n.platform = n.edges.Platform
+	if n.platform == nil {
+		n.platform = connector.NewClient(connector.Options{
+			URL: settings.URL, Rate: settings.Rate, Burst: settings.Burst, Timeout: settings.Timeout, Dial: n.edges.Dial,
+		})
+	}
+	options := messenger.Options{Zone: n.settings.Zone, Traffic: n.traffic, Logger: n.part("messenger")}
+	if dial := n.edges.Dial; dial != nil {
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	}
+	n.client = messenger.NewClient(options)
+	n.rpc = messenger.NewServer(options)
+}
+
+func (n *Node) addMembership() {
+	n.Follower = follower.New(follower.Options{Clock: n.edges.Clock, Logger: n.part("follower")})
+	n.Tracker = tracker.NewTracker(tracker.Options{
+		Self: tracker.Member{
+			Name: n.settings.Name, Zone: n.settings.Zone, Service: n.settings.Service,
+			Peer: n.settings.Peer, Caller: n.settings.Caller, Slots: n.settings.Slots,
+		},
+		Caller: n.client, Clock: n.edges.Clock, Logger: n.part("tracker"), Seed: rand.Uint64(),
+		Versions: func() (known, active uint64) { return n.Follower.Known(), n.Follower.ActiveVersion() },
+		Heard:    func(from tracker.Member, active uint64) { n.relayer.Heard(from, active) },
+	})
+	n.seeder = &seeder{
+		platform: n.platform, tracker: n.Tracker, zone: n.settings.Zone, peer: n.settings.Peer, logger: n.part("seeder"),
+	}
+}
+
+func (n *Node) addConfiguration() {
+	n.relayer = relayer.New(relayer.Options{
+		Name: n.settings.Name, Zone: n.settings.Zone, Peer: n.settings.Peer,
+		Caller: n.client, Members: n.Tracker, Follower: n.Follower, Platform: n.platform,
+		Clock: n.edges.Clock, Logger: n.part("relayer"), Seed: rand.Uint64(),
+	})
+	n.auditor = auditor.New(auditor.Options{
+		Platform: n.platform, Clock: n.edges.Clock, Random: newRandom(), Log: n.part("auditor"), Node: n.settings.Name,
+	})
+	n.Publisher = publisher.New(publisher.Options{
+		Platform: n.platform, Clock: n.edges.Clock, Random: newRandom(), Log: n.part("publisher"), Audit: n.auditor,
+		Node: n.settings.Name, Prune: n.auditor.Prune,
+	})
+}
+
+func (n *Node) addRequests() {
+	incarnation := n.Tracker.Self().Incarnation
+	places := &homes{active: n.Follower.Active}
+	placement := &deduplicator.Observed{
+		Directory: n.Tracker, View: places.zones, Lists: places.lists, Clock: n.edges.Clock,
+		Lead: ownerLead, Window: memoryWindow,
+	}
+	n.deduplicator = deduplicator.New(deduplicator.Options{
+		Name: n.settings.Name, Incarnation: incarnation, Zone: n.settings.Zone, Clock: n.edges.Clock,
+		Caller: n.client, Directory: n.Tracker, Placement: placement, Window: memoryWindow,
+		Since: func() timekeeper.Millis { return timekeeper.Millis(n.joined.Load()) },
+		Bytes: int(n.settings.Memory.Records),
+	})
+	n.isolator = isolator.New(isolator.Options{
+		Name: n.settings.Name, Incarnation: incarnation, Zone: n.settings.Zone, Zones: n.Tracker.Zones,
+		Clock: n.edges.Clock, Caller: n.client, Directory: n.Tracker,
+	})
+	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: max(n.settings.Slots, 1)})
+	n.prober = prober.New(prober.Options{
+		URL: "http://" + n.settings.Upstream.Address + n.settings.Upstream.Probe, Logger: n.part("prober"),
+	})
+	n.drainer = drainer.New(drainer.Options{
+		Logger: n.part("drainer"), Grace: drainGrace,
+		Announce: func() { n.Tracker.SetSelf(func(m *tracker.Member) { m.State = tracker.StateDraining }) },
+		Close:    n.queue.Drain, Handover: n.deduplicator.HandOver, Leave: n.Tracker.Leave,
+	})
+	options := forwarder.Options{
+		Clock: n.edges.Clock, Logger: n.part("forwarder"), Name: n.settings.Name, Incarnation: incarnation,
+		Zone: n.settings.Zone, Gate: n.drainer, Dial: n.edges.Dial, Views: n.Follower,
+		Picker: router.NewPicker(router.Options{Directory: n.Tracker, Clock: n.edges.Clock, Zone: n.settings.Zone}),
+		Caller: n.client, Retrier: retrier.New(retrier.Options{Clock: n.edges.Clock}), Mint: n.deduplicator.Mint,
+		Home: homeOf(placement), Internal: n.settings.Internal, MaxBody: n.settings.Body,
+		Coordinator: n.deduplicator, Isolator: n.isolator,
+		Queue: n.queue, Prober: n.prober, Upstream: n.settings.Upstream.Address,
+	}
+	n.entry = forwarder.NewEntry(options)
+	options.Dial = nil // the upstream is beside the node
+	n.host = forwarder.NewHost(options)
+}
+
+// homeOf returns the function that finds the data centre of an id for a call.
+func homeOf(placement deduplicator.Placement) func(id, account, call string) string {
+	return func(id, account, call string) string {
+		parsed, err := deduplicator.ParseID(id)
+		if err != nil {
+			return ""
+		}
+		return deduplicator.Home(parsed, placement.Zones(account, call).At(parsed.Birth()))
+	}
+}
+
+func (n *Node) addAdministration() {
+	n.admin = administrator.New(administrator.Options{
+		Platform: n.platform, Publisher: n.Publisher, Auditor: n.auditor, Views: n.Follower, Members: n.Tracker,
+		Marks: n.marks, Metrics: n.meter, Draining: n.drainer.Draining, Drain: n.Stop,
+		Node:     administrator.Node{Name: n.settings.Name, Zone: n.settings.Zone, Service: n.settings.Service},
+		Operator: n.settings.Operator, Clock: n.edges.Clock, Logger: n.logger,
+	})
+}
+
+func (n *Node) marks() []administrator.Mark {
+	found := n.isolator.Marks()
+	marks := make([]administrator.Mark, 0, len(found))
+	for _, mark := range found {
+		marks = append(marks, administrator.Mark{
+			Account: mark.Key.Account, Call: mark.Key.Call, Kind: string(mark.Scope), Until: mark.Until,
+		})
+	}
+	return marks
+}
+
+func (n *Node) register() error {
+	receivers := map[string]any{
+		"Tracker": n.Tracker.Receiver(), "Relayer": n.relayer.Receiver(), "Deduplicator": n.deduplicator.Receiver(),
+		"Isolator": n.isolator.Receiver(), "Forwarder": n.host.Receiver(),
+	}
+	for name, receiver := range receivers {
+		if err := n.rpc.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -50,9 +50,7 @@
 		}
 		// Jitter keeps nodes that start together from calling the platform together.
 		pause += timekeeper.Millis(rand.Int64N(int64(pause)))
-		if connector.Sleep(ctx, pause) != nil {
-			return nil
-		}
+		_ = connector.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -93,7 +91,9 @@
 			live = append(live, member.Peer)
 		}
 	}
-	current := slices.DeleteFunc(slices.Clone(listed), func(address string) bool { return !slices.Contains(live, address) })
+	current := slices.DeleteFunc(slices.Clone(listed), func(address string) bool {
+		return !slices.Contains(live, address)
+	})
 	if len(current) == len(listed) && len(current) >= min(len(live), maxSeeds) {
 		return nil
 	}
--- a/internal/runner/server.go
+++ b/internal/runner/server.go
@@ -50,8 +50,12 @@
 	return nil
 }
 
-// close stops listening, lets answers that are being written end, and then closes all connections.
-func (s *server) close() {
+// close stops listening, lets answers that are being written end unless abrupt, and then closes all connections.
+func (s *server) close(abrupt bool) {
+	if abrupt {
+		_ = s.http.Close()
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
 	defer cancel()
 	if s.http.Shutdown(ctx) != nil {
--- /dev/null
+++ b/tools/bench/fleet.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+	"github.com/jasmineproxy/jasmineproxy/internal/runner"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// firstPort begins the ports that measurements use. The kernel gives ports from 32768 on to outgoing connections.
+const firstPort = 20000
+
+// fleetZones are the data centres of a measured fleet; the platform is in the first one.
+var fleetZones = []string{"vereda-alta", "vereda-media", "vereda-baja"}
+
+// Fleet is a platform stand-in with nodes in one process, joined by links with delay.
+type Fleet struct {
+	Topology *faker.Topology
+	Store    *faker.Platform
+	Heads    *headWatch
+	url      string
+	server   *http.Server
+	ctx      context.Context //nolint:containedctx // ends all nodes of the fleet
+	cancel   context.CancelFunc
+	mutex    sync.Mutex
+	port     int
+	members  []*fleetMember
+	work     sync.WaitGroup
+}
+
+// fleetMember is one node of a fleet. Name and zone stay when the node is replaced.
+type fleetMember struct {
+	name, zone string
+	addresses  [3]string    // caller, peer and admin
+	node       *runner.Node // nil while the node is down
+	ended      chan struct{}
+}
+
+// newFleet starts the platform stand-in and an upstream that all nodes share.
+func newFleet(parent context.Context, seed uint64) (*Fleet, error) {
+	ctx, cancel := context.WithCancel(parent)
+	f := &Fleet{
+		Topology: faker.NewTopology(faker.TopologyOptions{Delay: 4, Jitter: 2, Loss: 0.002, Seed: seed}),
+		Store:    faker.NewPlatform(), ctx: ctx, cancel: cancel, port: firstPort,
+	}
+	f.Heads = &headWatch{Platform: faker.NewLimited(f.Store)}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", faker.Handler(f.Heads))
+	mux.HandleFunc("/health", func(http.ResponseWriter, *http.Request) {})
+	address, err := f.address()
+	if err != nil {
+		return nil, err
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	f.url = "http://" + address
+	f.Topology.Register(address, fleetZones[0], "platform")
+	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: (5 * timekeeper.Second).Duration()}
+	f.work.Go(func() { _ = f.server.Serve(listener) })
+	return f, nil
+}
+
+// close ends all nodes and the platform.
+func (f *Fleet) close() {
+	for i := range f.members {
+		f.kill(i)
+	}
+	f.cancel()
+	_ = f.server.Close()
+	f.work.Wait()
+}
+
+// address returns a loopback address that nothing listens on.
+func (f *Fleet) address() (string, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var config net.ListenConfig
+	for ; f.port < 32000; f.port++ {
+		address := fmt.Sprintf("127.0.0.1:%d", f.port)
+		listener, err := config.Listen(f.ctx, "tcp", address)
+		if err == nil {
+			f.port++
+			return address, listener.Close()
+		}
+	}
+	return "", fmt.Errorf("no free port from %d on", firstPort)
+}
+
+// grow adds nodes until there are count, spread over the data centres.
+func (f *Fleet) grow(count int) error {
+	for i := len(f.members); i < count; i++ {
+		f.members = append(f.members, &fleetMember{name: fmt.Sprintf("node-%03d", i), zone: fleetZones[i%len(fleetZones)]})
+		if err := f.replace(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replace starts member i with new addresses, as another instance would.
+func (f *Fleet) replace(i int) error {
+	m := f.members[i]
+	for j := range m.addresses {
+		address, err := f.address()
+		if err != nil {
+			return err
+		}
+		m.addresses[j] = address
+		f.Topology.Register(address, m.zone, m.name)
+	}
+	return f.start(i)
+}
+
+// start starts member i with the addresses that it had before.
+func (f *Fleet) start(i int) error {
+	m := f.members[i]
+	f.Topology.Pause(m.name, false)
+	settings := loader.Default()
+	settings.Name, settings.Zone, settings.Service = m.name, m.zone, "service-0"
+	settings.Caller, settings.Peer, settings.Admin = m.addresses[0], m.addresses[1], m.addresses[2]
+	settings.Upstream.Address = f.url[len("http://"):]
+	settings.Platform.URL, settings.Log = f.url, "error"
+	node, err := runner.New(settings, runner.Edges{
+		Clock: timekeeper.System(), Dial: f.Topology.Dialer(m.zone, m.name), Log: io.Discard,
+	})
+	if err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	m.node, m.ended = node, ended
+	f.work.Go(func() {
+		defer close(ended)
+		if err := node.Run(f.ctx); err != nil && f.ctx.Err() == nil {
+			fmt.Fprintln(os.Stderr, "bench:", m.name, err)
+		}
+	})
+	return nil
+}
+
+// kill ends member i at once, without a planned stop.
+func (f *Fleet) kill(i int) {
+	if node := f.members[i].node; node != nil {
+		node.Kill()
+		<-f.members[i].ended
+		f.members[i].node = nil
+	}
+}
+
+// submit publishes a set of edits through the first node and returns the accepted version.
+func (f *Fleet) submit(ctx context.Context, edits []publisher.Edit) (uint64, error) {
+	set := publisher.Set{Operation: uuid.NewString(), Author: "bench", Edits: edits}
+	result, err := f.members[0].node.Publisher.Submit(ctx, set)
+	return result.Version, err
+}
+
+// await waits until every running node that keep accepts has a version in force and returns how long after since the
+// last poll saw it on each, in ms. Nodes that do not reach it within limit count with limit.
+func (f *Fleet) await(
+	version uint64, since time.Time, limit timekeeper.Millis, keep func(*fleetMember) bool,
+) []float64 {
+	return f.watch(version, limit, keep).spans(since)
+}
+
+// watch starts to note when each running node that keep accepts has a version in force.
+func (f *Fleet) watch(version uint64, limit timekeeper.Millis, keep func(*fleetMember) bool) *versionWatch {
+	w := &versionWatch{done: make(chan struct{})}
+	pending := make(map[*runner.Node]struct{})
+	for _, m := range f.members {
+		if m.node != nil && (keep == nil || keep(m)) {
+			pending[m.node] = struct{}{}
+		}
+	}
+	go w.run(pending, version, limit)
+	return w
+}
+
+// versionWatch collects the times at which nodes put a version in force.
+type versionWatch struct {
+	done  chan struct{}
+	times []time.Time
+}
+
+func (w *versionWatch) run(pending map[*runner.Node]struct{}, version uint64, limit timekeeper.Millis) {
+	defer close(w.done)
+	end := time.Now().Add(limit.Duration())
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for len(pending) > 0 {
+		now := <-ticker.C
+		for node := range pending {
+			if node.Follower.Ready() && node.Follower.ActiveVersion() >= version || now.After(end) {
+				w.times = append(w.times, now)
+				delete(pending, node)
+			}
+		}
+	}
+}
+
+// spans waits for all nodes and returns the times after since, in ms.
+func (w *versionWatch) spans(since time.Time) []float64 {
+	<-w.done
+	spans := make([]float64, 0, len(w.times))
+	for _, at := range w.times {
+		spans = append(spans, max(float64(at.Sub(since).Microseconds())/1000, 0))
+	}
+	return spans
+}
+
+// headWatch notes when the head of the configuration moved.
+type headWatch struct {
+	connector.Platform
+	mutex sync.Mutex
+	moved time.Time
+}
+
+// Put implements connector.Platform.
+func (h *headWatch) Put(ctx context.Context, object connector.Object) (uint64, error) {
+	revision, err := h.Platform.Put(ctx, object)
+	if err == nil && object.Kind == connector.KindHead {
+		h.mutex.Lock()
+		h.moved = time.Now()
+		h.mutex.Unlock()
+	}
+	return revision, err
+}
+
+// last returns the time of the last move.
+func (h *headWatch) last() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.moved
+}
+
+// fleetSources returns a template and client accounts whose number grows with the fleet.
+func fleetSources(accounts int) []publisher.Edit {
+	var template bytes.Buffer
+	template.WriteString("template: fleet\nparameters:\n  - {name: slots, type: int, default: 6, min: 1, max: 1000}\n" +
+		"  - {name: index, type: int, min: 0, max: 100000}\n  - {name: goal, type: int, default: 200, min: 1, max: 5000}\n" +
+		"ranks:\n  - {name: urgent, order: 1, target: ${goal}, worth: 100, share: 50}\n" +
+		"  - {name: later, order: 2, target: 2000, worth: 1, share: 20}\nservices:\n" +
+		"  - {name: \"service-${index}\", zones: [vereda-alta, vereda-media, vereda-baja], slots: ${slots}, " +
+		"connections: 130}\n" +
+		"calls:\n")
+	for i := range 10 {
+		fmt.Fprintf(&template, "  - {name: call-%d, service: \"service-${index}\", method: GET, path: /call-%d, "+
+			"rank: urgent, idempotent: true, internal: false, timeout: 1000}\n", i, i)
+	}
+	edits := make([]publisher.Edit, 0, 1+accounts)
+	edits = append(edits, publisher.Edit{Name: "template.fleet", Value: template.String()})
+	for i := range accounts {
+		edits = append(edits, accountEdit(i, 200))
+	}
+	return edits
+}
+
+// accountEdit sets the target of one client account's urgent rank.
+func accountEdit(i, goal int) publisher.Edit {
+	return publisher.Edit{
+		Name: fmt.Sprintf("account.customer-%d", i),
+		Value: fmt.Sprintf("account: customer-%d\ntemplate: fleet\nhost: customer-%d.example\n"+
+			"values: {index: %d, goal: %d}\n", i, i, i, goal),
+	}
+}
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -22,7 +22,7 @@
 	command := &cli.Command{
 		Name:     "bench",
 		Usage:    "stand-ins and measurements for jasmineproxy",
-		Commands: []*cli.Command{platformCommand()},
+		Commands: []*cli.Command{platformCommand(), upstreamCommand(), callerCommand(), nodeCommand(), configCommand(), requestsCommand()},
 	}
 	if err := command.Run(ctx, arguments); err != nil {
 		fmt.Fprintln(os.Stderr, err)
