--- a/internal/commander/apply.go
+++ b/internal/commander/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,8 +79,13 @@
 	return nil
 }
 
-// unknownResult adds the operation to an error after which the change may have been accepted.
+// unknownResult adds the operation to an error after which the change may have been accepted. A refused connection is
+// not one, since nothing was sent.
 func unknownResult(err error, operation string) error {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return err
+	}
 	switch classifier.CodeOf(err) {
 	case classifier.CodePeerClosed, classifier.CodePeerTimeout, classifier.CodePeerInvalid, classifier.CodeUnavailable:
 		return fmt.Errorf("%w; the change may have been accepted: repeat the command with --operation %s", err, operation)
--- a/internal/commander/client_test.go
+++ b/internal/commander/client_test.go
@@ -156,7 +156,8 @@
 	}
 }
 
-// Guards against an accepted version that counts as in force, and a lost answer without the way to repeat.
+// Guards against an accepted version that counts as in force, a lost answer without the way to repeat, and a change
+// that was never sent but is reported as perhaps accepted.
 func TestApplyTellsWhatIsNotCertain(t *testing.T) {
 	n, server := startNode(t)
 	n.stale = true
@@ -170,9 +171,11 @@
 		panic(http.ErrAbortHandler)
 	}))
 	t.Cleanup(broken.Close)
-	s = newSession("JASMINE_NODE=" + broken.URL)
-	if code := s.execute(t, arguments...); code != 13 || !strings.Contains(s.errors.String(), "--operation one") {
-		t.Fatalf("exit code is %d: %s", code, s.errors.String())
+	for address, want := range map[string]bool{broken.URL: true, "http://127.0.0.1:1": false} {
+		s = newSession("JASMINE_NODE=" + address)
+		if code := s.execute(t, arguments...); code != 13 || strings.Contains(s.errors.String(), "--operation one") != want {
+			t.Fatalf("%s: exit code is %d: %s", address, code, s.errors.String())
+		}
 	}
 }
 
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -30,6 +30,13 @@
 	}
 }
 
+func listText(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, " ")
+}
+
 func writeStatus(t *text, status *administrator.Status) {
 	state := "not ready (code 231)"
 	switch {
@@ -48,7 +55,7 @@
 	for _, zone := range status.Zones {
 		t.line("zone %s: %d ready, %d starting, %d draining, %d suspect, %d failed, %d left, %d behind; relays %s",
 			zone.Name, zone.Ready, zone.Starting, zone.Draining, zone.Suspect, zone.Failed, zone.Left, zone.Behind,
-			strings.Join(zone.Relays, " "))
+			listText(zone.Relays))
 	}
 	for _, mark := range status.Marks {
 		t.line("crash mark: account %s, call %s, by %s, until %s", mark.Account, mark.Call, mark.Kind, timeText(mark.Until))
