Close gaps that removed checks showed in the tests of the administration API

The tests passed without the refusal of unknown fields, the filter of other accounts' refusals and the redaction of problems and conflicts.

Ruled out: faults in the program; each check works, only its test was missing or was refused earlier for another reason.

--- a/internal/administrator/refusal_test.go
+++ b/internal/administrator/refusal_test.go
@@ -49,7 +49,7 @@
 		{"GET", "/v1/token", ochreToken, "", 403, classifier.CodeTokenScope},
 		{"POST", "/v1/token", ochreToken, encode(t, Grant{Digest: digest, Name: "x"}), 403, classifier.CodeTokenScope},
 		{"DELETE", "/v1/token?digest=" + digest, ochreToken, "", 403, classifier.CodeTokenScope},
-		{"POST", "/v1/apply", ochreToken, `{"edits":[],"extra":1}`, 400, classifier.CodeBadRequest},
+		{"POST", "/v1/apply", ochreToken, `{"extra":1,` + valid[1:], 400, classifier.CodeBadRequest},
 		{"POST", "/v1/apply", ochreToken, `{"edits":[]}`, 400, classifier.CodeBadRequest},
 		{"POST", "/v1/apply", ochreToken, valid + "{}", 400, classifier.CodeBadRequest},
 		{"POST", "/v1/apply", ochreToken, "", 400, classifier.CodeBadRequest},
@@ -121,6 +121,7 @@
 	base := w.revision(t, "account.wick")
 	w.expect(t, http.StatusOK, "POST", "/v1/apply", ochreToken,
 		named(t, "same", "account.ochre", accountText("ochre", ""), w.revision(t, "account.ochre")))
+	w.send("POST", "/v1/apply", ochreToken, edit(t, "account.ochre", accountText("ochre", "slots: 0"), 1))
 	stolen := strings.Replace(accountText("wick", ""), "wick.example", "ochre.example", 1)
 	get := func(status int, method, path, body string) string {
 		return w.expect(t, status, method, path, wickToken, body).Body.String()
