Test the request path under failures, and fix what the tests found

Cause: the tests of the forwarder on a network in memory with fake time showed four faults. The bytes of a record went into the buffer pool after a replayed answer, and were overwritten by other requests. A request whose first attempt may have run ended as not run when its last attempt was refused. Two presentations of one id were taken for one attempt. The watch of waiting calls outlived its entry node.

Ruled out: copying request bodies for each attempt. The buffer counts its holders instead, because net/http may read a body after RoundTrip has returned.

Change: buffers with holders, a token for each presentation of an id, the memory of earlier attempts in the outcome, a hold on the gate for records in the background.

Conclusion: each property also has a test in which its mechanism is off and the property is violated, where the mechanism has a switch.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -51,6 +51,12 @@
 	return false
 }
 
+// Hold counts work in that outlives a call, such as a record. The call must be counted itself when Hold is called, so
+// that the wait of a drain cannot be over yet. Each Hold needs one End.
+func (d *Drainer) Hold() {
+	d.state.Add(1)
+}
+
 // End counts a call out.
 func (d *Drainer) End() {
 	if d.state.Add(-1) == closedBit {
--- a/internal/forwarder/attempts.go
+++ b/internal/forwarder/attempts.go
@@ -40,12 +40,17 @@
 // attemptKey identifies one attempt of a request.
 type attemptKey struct {
 	id     string
+	token  uint64
 	number int
 }
 
+func (j *job) key() attemptKey {
+	return attemptKey{j.ID, j.Token, j.Attempt}
+}
+
 // String returns the form in the Jasmine-Answers header.
 func (k attemptKey) String() string {
-	return k.id + " " + strconv.Itoa(k.number)
+	return k.id + " " + strconv.FormatUint(k.token, 16) + " " + strconv.Itoa(k.number)
 }
 
 type attempt struct {
@@ -151,12 +156,12 @@
 			return StateAbsent, classifier.CodeOK
 		}
 		s.fences++
-		found = &attempt{state: StateNotRun, code: classifier.CodeCanceled, expires: deadline + attemptGrace}
+		found = &attempt{state: StateNotRun, code: classifier.CodeUpstreamUnreached, expires: deadline + attemptGrace}
 		s.table[key] = found
 		s.ended = append(s.ended, endedAttempt{key, found.expires})
 	}
 	if found.state == StateQueued {
-		found.state, found.code = StateNotRun, classifier.CodeCanceled
+		found.state, found.code = StateNotRun, classifier.CodeUpstreamUnreached
 		if found.cancel != nil {
 			found.cancel()
 		}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -21,6 +22,7 @@
 	body     *buffer
 	deadline timekeeper.Millis
 	certain  bool // the id was claimed and given back: no attempt of it ran
+	started  bool // an earlier attempt may have run
 	deaths   int  // attempts during which the upstream ended
 	// Switches of mechanisms, set by tests only.
 	deliverShort, takeAny bool
@@ -42,7 +44,7 @@
 	c.job = job{
 		ID: r.Header.Get(headerID), Idempotent: route.Call.Idempotent, Order: route.Rank.Order, Share: route.Rank.Share,
 		Target: route.Rank.Target, Account: route.Account.Name, Call: route.Call.Name, Service: route.Call.Service,
-		Method: r.Method, URI: r.URL.RequestURI(),
+		Method: r.Method, URI: r.URL.RequestURI(), Token: rand.Uint64(),
 	}
 	c.pick = router.Request{
 		Service: c.job.Service, Account: c.job.Account, Call: c.job.Call, Rank: c.job.Order,
--- a/internal/forwarder/dial.go
+++ b/internal/forwarder/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
@@ -18,25 +19,37 @@
 // once is a request body that net/http cannot rewind. So net/http never sends a request a second time on its own, and
 // a dial error means that nothing was sent.
 type once struct {
-	rest []byte
+	mutex sync.Mutex
+	from  *buffer // nil for an empty body and after Close
+	sent  int
 }
 
-func newOnce(content []byte) *once {
-	return &once{rest: content}
+// newOnce returns a body that holds the buffer until it is closed. A nil buffer makes an empty body.
+func newOnce(content *buffer) *once {
+	if content != nil {
+		content.holders.Add(1)
+	}
+	return &once{from: content}
 }
 
 // Read implements io.Reader.
 func (o *once) Read(target []byte) (int, error) {
-	if len(o.rest) == 0 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.from == nil || o.sent == len(o.from.bytes) {
 		return 0, io.EOF
 	}
-	n := copy(target, o.rest)
-	o.rest = o.rest[n:]
+	n := copy(target, o.from.bytes[o.sent:])
+	o.sent += n
 	return n, nil
 }
 
 // Close implements io.Closer.
 func (o *once) Close() error {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	releaseBuffer(o.from)
+	o.from = nil
 	return nil
 }
 
--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -81,7 +81,7 @@
 	if mark == "" {
 		return response.Header.Get(headerOutcome) != string(classifier.OutcomeAnswered)
 	}
-	return c.takeAny || mark == attemptKey{c.job.ID, c.job.Attempt}.String()
+	return c.takeAny || mark == c.job.key().String()
 }
 
 // readUpTo reads up to limit bytes, and reports whether the source ended there as its length says.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -27,9 +27,10 @@
 	matcher   router.Matcher
 	transport *http.Transport
 	watcher   *watcher
+	end       context.CancelFunc
 
 	// Switches of mechanisms, set by tests only.
-	noResolve, deliverShort, takeAny bool
+	noResolve, deliverShort, takeAny, noMemory bool
 }
 
 // NewEntry returns the handler of the caller address.
@@ -38,12 +39,14 @@
 		options.MaxBody = defaultMaxBody
 	}
 	e := &Entry{Options: options, transport: newTransport(options.Dial, 0)}
-	e.watcher = newWatcher(e)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.watcher, e.end = newWatcher(ctx, e), cancel
 	return e
 }
 
-// Close closes idle connections to host nodes.
+// Close ends the questions about waiting calls and closes idle connections to host nodes.
 func (e *Entry) Close() {
+	e.end()
 	e.transport.CloseIdleConnections()
 }
 
@@ -89,7 +92,7 @@
 			if last == nil {
 				last = failureOf(err)
 			}
-			e.end(w, c, last)
+			e.refuse(w, c, last)
 			return
 		}
 		end := e.attempt(ctx, c, &member)
@@ -98,17 +101,19 @@
 			return
 		}
 		last = end.failure
+		c.started = c.started || last.Outcome != classifier.OutcomeNotRun
 		if !e.again(ctx, c, &member, end) {
-			e.end(w, c, last)
+			e.refuse(w, c, last)
 			return
 		}
 	}
 }
 
-// end reports a failure. Where an id from a caller is refused without its claim, an earlier presentation of the id may
-// have run, so "not run" would be a claim about more than this attempt.
-func (e *Entry) end(w http.ResponseWriter, c *call, failure *classifier.Error) {
-	if failure.Outcome == classifier.OutcomeNotRun && !c.job.Fresh && !c.job.Idempotent && !c.certain {
+// refuse reports a failure. "Not run" is a statement about the request and not only about its last attempt: an earlier
+// attempt may have run, and where an id from a caller is refused without its claim, an earlier presentation of the id.
+func (e *Entry) refuse(w http.ResponseWriter, c *call, failure *classifier.Error) {
+	uncertain := !c.job.Fresh && !c.job.Idempotent && !c.certain
+	if failure.Outcome == classifier.OutcomeNotRun && (uncertain || c.started && !e.noMemory) {
 		copied := *failure
 		copied.Outcome = classifier.OutcomeUnknown
 		failure = &copied
@@ -213,7 +218,7 @@
 		Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if c.body != nil && len(c.body.bytes) > 0 {
-		request.Body = newOnce(c.body.bytes)
+		request.Body = newOnce(c.body)
 		request.ContentLength = int64(len(c.body.bytes))
 	}
 	return request.WithContext(ctx)
--- /dev/null
+++ b/internal/forwarder/hop_test.go
@@ -0,0 +1,239 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+var (
+	silent = log.New(io.Discard, "", 0)
+	noLink = faker.LinkOptions{}
+	plain  = []faker.UpstreamOptions{{}}
+)
+
+// echo answers with what arrived.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Seen", r.Method+" "+r.URL.RequestURI()+" "+r.Host+" "+r.Header.Get("X-Given"))
+	w.Header().Set("Jasmine-Code", "999")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write(body)
+}
+
+// Guards against a hop that changes method, path, host, headers, status or body of either side, short or long.
+func TestHopIsTransparent(t *testing.T) {
+	inBubble(t, nil, noLink, []faker.UpstreamOptions{{Answer: echo}}, func(t *testing.T, m *mesh) {
+		for _, size := range []int{0, 1, keptBytes, keptBytes + 1, 300_000} {
+			body := strings.Repeat("x", size)
+			got := m.send(t.Context(), http.MethodPost, "/book/9%2F?day=2", body, "X-Given", "yes", "Idempotency-Key", "1")
+			seen := got.Header().Get("X-Seen")
+			if got.Code != http.StatusCreated || got.Body.String() != body || outcomeOf(got) != classifier.OutcomeAnswered ||
+				seen != "POST /book/9%2F?day=2 wick.example yes" || got.Header().Get(headerCode) != "0" {
+				t.Errorf("size %d: status %d, %d bytes, header %v", size, got.Code, got.Body.Len(), got.Header())
+			}
+			if id := got.Header().Get(headerID); !validID(id) || m.runs(id) != 1 {
+				t.Errorf("size %d: id %q ran %d times", size, id, m.runs(id))
+			}
+		}
+	})
+}
+
+// Guards against requests that get past the checks of the entry node, or refusals with a wrong number.
+func TestValidation(t *testing.T) {
+	future := newID(timekeeper.System().Now() + 60_000)
+	inBubble(t, nil, noLink, plain, func(t *testing.T, m *mesh) {
+		for _, c := range []struct {
+			method, path, body, header, value string
+			code                              classifier.Code
+		}{
+			{"GET", "/other", "", "", "", classifier.CodeUnknownCall},
+			{"POST", "/book", strings.Repeat("x", defaultMaxBody+1), "", "", classifier.CodeBodyTooLarge},
+			{"GET", "/check", "", headerDeadline, "0", classifier.CodeDeadlinePassed},
+			{"GET", "/check", "", headerDeadline, "soon", classifier.CodeBadRequest},
+			{"GET", "/check", "", headerID, "17", classifier.CodeIDMalformed},
+			{"GET", "/check", "", headerID, "0192f7a0-0000-4000-8000-000000000000", classifier.CodeIDMalformed},
+			{"GET", "/check", "", headerID, future, classifier.CodeIDFuture},
+			{"GET", "/audit", "", headerInternal, "guess", classifier.CodeInternalCall},
+			{"GET", "/audit", "", headerInternal, "secret", classifier.CodeOK},
+			{"GET", "/check", "", headerDepth, "16", classifier.CodeTooDeep},
+			{"GET", "/check", "", headerDepth, "15", classifier.CodeOK},
+		} {
+			got := m.send(t.Context(), c.method, c.path, c.body, c.header, c.value)
+			want := classifier.OutcomeNotRun
+			if c.code == classifier.CodeOK {
+				want = classifier.OutcomeAnswered
+			}
+			if got.Header().Get(headerCode) != strconv.Itoa(int(c.code)) || outcomeOf(got) != want {
+				t.Errorf("%s %s %s=%s: %d %v", c.method, c.path, c.header, c.value, got.Code, got.Header())
+			}
+		}
+		if runs, _, _ := m.upstreams[0].Totals(); runs != 2 {
+			t.Errorf("%d requests reached the upstream", runs)
+		}
+	})
+}
+
+// faulty stands for a host node that answers one attempt wrongly.
+func faulty(m *mesh, respond http.HandlerFunc) {
+	m.serve("faulty:1", respond)
+	m.members[0] = tracker.Member{
+		Name: "faulty", Zone: "a", Service: service, Peer: "faulty:1", Slots: 1000, State: tracker.StateReady,
+	}
+}
+
+func mark(w http.ResponseWriter, r *http.Request, other string) {
+	j, _ := decodeJob(r.Header)
+	key := j.key()
+	if other != "" {
+		key.id = other
+	}
+	w.Header().Set(headerAnswers, key.String())
+	w.Header().Set(headerOutcome, string(classifier.OutcomeAnswered))
+}
+
+// Guards against a truncated answer that is delivered as whole: it is retried if idempotent, and unknown otherwise.
+func TestTruncatedAnswers(t *testing.T) {
+	short := func(w http.ResponseWriter, r *http.Request) {
+		mark(w, r, "")
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("part"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	two := []faker.UpstreamOptions{{}, {}}
+	send := func(deliver bool, method, path string) *httptest.ResponseRecorder {
+		var got *httptest.ResponseRecorder
+		inBubble(t, nil, noLink, two, func(t *testing.T, m *mesh) {
+			faulty(m, short)
+			m.entry.deliverShort = deliver
+			m.entry.Picker.Started("b") // so that the faulty node is chosen first
+			got = m.send(t.Context(), method, path, "")
+		})
+		return got
+	}
+	got := send(false, http.MethodGet, "/check")
+	if got.Code != http.StatusOK || !strings.HasPrefix(got.Body.String(), "ran ") {
+		t.Errorf("idempotent: %d %s", got.Code, got.Body)
+	}
+	if got := send(false, http.MethodPost, "/book"); outcomeOf(got) != classifier.OutcomeUnknown {
+		t.Errorf("not idempotent: %d %s", got.Code, got.Body)
+	}
+	if got := send(true, http.MethodGet, "/check"); !strings.HasPrefix(got.Body.String(), "part") {
+		t.Errorf("without the check a truncated answer is not delivered either: %s", got.Body)
+	}
+}
+
+// Guards against a long answer that breaks off on its way and ends like a whole one.
+func TestLongAnswerBreaksOff(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "500000")
+		_, _ = w.Write(make([]byte, 300_000))
+		panic(http.ErrAbortHandler)
+	}
+	inBubble(t, nil, noLink, []faker.UpstreamOptions{{Answer: answer}}, func(t *testing.T, m *mesh) {
+		defer func() {
+			if recover() == nil {
+				t.Error("the handler returned as if the answer were whole")
+			}
+		}()
+		m.send(t.Context(), http.MethodGet, "/check", "")
+	})
+}
+
+// Guards against an answer that goes to another request, when host nodes answer late or cross answers.
+func TestAnswersGoToTheirRequest(t *testing.T) {
+	crossed := func(w http.ResponseWriter, r *http.Request) {
+		mark(w, r, "0192f7a0-0000-7000-8000-000000000000")
+		_, _ = w.Write([]byte("of another"))
+	}
+	for _, off := range []bool{false, true} {
+		inBubble(t, nil, noLink, []faker.UpstreamOptions{{}, {}}, func(t *testing.T, m *mesh) {
+			faulty(m, crossed)
+			m.entry.takeAny = off
+			m.entry.Picker.Started("b")
+			got := m.send(t.Context(), http.MethodGet, "/check", "")
+			if own := got.Body.String() == "ran "+got.Header().Get(headerID)+"\n"; own == off {
+				t.Errorf("switch %v: %s", off, got.Body)
+			}
+		})
+	}
+	late := faker.UpstreamOptions{Service: func(r *http.Request) timekeeper.Millis {
+		return timekeeper.Millis(len(r.URL.RawQuery)) * 20
+	}}
+	link := faker.LinkOptions{Delay: 4, Jitter: 10}
+	inBubble(t, nil, link, []faker.UpstreamOptions{late, late}, func(t *testing.T, m *mesh) {
+		var group sync.WaitGroup
+		for i := range 60 {
+			group.Go(func() {
+				got := m.send(t.Context(), http.MethodGet, "/check?"+strings.Repeat("x", i%12), "", headerDeadline, "150")
+				if outcomeOf(got) == classifier.OutcomeAnswered && got.Body.String() != "ran "+got.Header().Get(headerID)+"\n" {
+					t.Errorf("request %s got %s", got.Header().Get(headerID), got.Body)
+				}
+			})
+		}
+		group.Wait()
+	})
+}
+
+// Guards against a cancellation that does not reach the upstream, and one that ends a run which must not happen twice.
+func TestCancellation(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		ended        int
+	}{{http.MethodGet, "/check", 0}, {http.MethodPost, "/book", 1}} {
+		inBubble(t, nil, noLink, []faker.UpstreamOptions{taking(500)}, func(t *testing.T, m *mesh) {
+			ctx, cancel := context.WithCancel(t.Context())
+			time.AfterFunc(100*time.Millisecond, cancel)
+			got := m.send(ctx, c.method, c.path, "")
+			synctest.Wait()
+			if running := m.upstreams[0].Running(); running != c.ended {
+				t.Errorf("%s: %d runs after the cancellation", c.method, running)
+			}
+			<-time.After(time.Second)
+			if ended := m.upstreams[0].Ended(got.Header().Get(headerID)); ended != c.ended {
+				t.Errorf("%s: %d runs to the end", c.method, ended)
+			}
+		})
+	}
+}
+
+// Guards against a second run of an id, an answer that is lost for a repeated id, and an outcome that strangers read.
+func TestRepeatedID(t *testing.T) {
+	inBubble(t, nil, noLink, []faker.UpstreamOptions{taking(30)}, func(t *testing.T, m *mesh) {
+		id := newID(m.entry.Clock.Now())
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() {
+				got := m.send(t.Context(), http.MethodPost, "/book", "", headerID, id)
+				if got.Body.String() != "ran "+id+"\n" {
+					t.Errorf("%d %s", got.Code, got.Body)
+				}
+			})
+		}
+		group.Wait()
+		if m.runs(id) != 1 {
+			t.Errorf("the id ran %d times", m.runs(id))
+		}
+		if got := m.send(t.Context(), http.MethodGet, outcomePath+id, ""); got.Body.String() != "ran "+id+"\n" {
+			t.Errorf("outcome: %d %s", got.Code, got.Body)
+		}
+		m.records.known[id] = deduplicatorRecordOf("ochre")
+		if got := m.send(t.Context(), http.MethodGet, outcomePath+id, ""); outcomeOf(got) != classifier.OutcomeUnknown {
+			t.Errorf("outcome of another account: %d %s", got.Code, got.Body)
+		}
+	})
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -96,7 +96,7 @@
 	if now > j.Expires+2*maxSkew {
 		return nil, classifier.Refuse(classifier.CodeDeadlinePassed, j.Call, "the request arrived after its deadline")
 	}
-	x := &run{job: j, writer: w, request: r, key: attemptKey{j.ID, j.Attempt}, deadline: now + j.Remaining}
+	x := &run{job: j, writer: w, request: r, key: j.key(), deadline: now + j.Remaining}
 	x.claim = deduplicator.Request{
 		ID: j.ID, Attempt: j.Attempt, Host: h.Name, Incarnation: h.Incarnation, Account: j.Account, Call: j.Call,
 		Fresh: j.Fresh, Deadline: x.deadline,
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -13,12 +13,13 @@
 // jobFormat is the version of the Jasmine-Forward header.
 const jobFormat = 1
 
-const jobFields = 15
+const jobFields = 16
 
 // job is what an entry node tells the host node about a request, in the Jasmine-Forward header.
 type job struct {
 	ID          string
 	Attempt     int
+	Token       uint64 // tells apart presentations of one id, which count their attempts on their own
 	Idempotent  bool
 	Fresh       bool // the entry node made the id, so nobody else can have presented it
 	Retry       bool // the request is part of a retry, here or at a node before
@@ -47,6 +48,8 @@
 		text = append(text, ' ')
 	}
 	text = strconv.AppendUint(text, j.Fingerprint, 16)
+	text = append(text, ' ')
+	text = strconv.AppendUint(text, j.Token, 16)
 	for _, word := range [...]string{j.Account, j.Call, j.Service, j.Method, j.ID} {
 		text = append(text, ' ')
 		text = append(text, word...)
@@ -85,12 +88,16 @@
 	if err != nil {
 		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "fingerprint is %.30q", words[9])
 	}
+	token, err := strconv.ParseUint(words[10], 16, 64)
+	if err != nil {
+		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "token is %.30q", words[10])
+	}
 	j := &job{
 		Attempt: int(numbers[1]), Idempotent: numbers[2]&1 != 0, Fresh: numbers[2]&2 != 0, Retry: numbers[2]&4 != 0,
 		Order: int(numbers[3]), Share: int(numbers[4]), Target: timekeeper.Millis(numbers[5]),
 		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Expires: timekeeper.Millis(numbers[8]),
-		Fingerprint: fingerprint,
-		Account:     words[10], Call: words[11], Service: words[12], Method: words[13], ID: words[14],
+		Fingerprint: fingerprint, Token: token,
+		Account: words[11], Call: words[12], Service: words[13], Method: words[14], ID: words[15],
 		URI: header.Get(headerTarget),
 	}
 	if !strings.HasPrefix(j.URI, "/") || j.Order >= admitter.Ranks || j.Method == "" || !validID(j.ID) {
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -2,16 +2,24 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
+	"github.com/jasmineproxy/jasmineproxy/internal/drainer"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/messenger"
+	"github.com/jasmineproxy/jasmineproxy/internal/prober"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
@@ -19,14 +27,18 @@
 
 const service = "orderdesk"
 
-// mesh is entry and host nodes with upstreams on a network in memory.
+// mesh is an entry node and host nodes with upstreams on a network in memory, each host node behind a link.
 type mesh struct {
 	network   *faker.Network
 	members   []tracker.Member
 	upstreams []*faker.Upstream
 	hosts     []*Host
+	links     []*faker.Link
+	gates     []*drainer.Drainer
 	entry     *Entry
-	servers   []*http.Server
+	client    *messenger.Client
+	records   *records
+	end       []func()
 }
 
 type fixedViews struct{ view *compiler.View }
@@ -39,76 +51,153 @@
 func (f fixedDirectory) Service(string) []tracker.Member { return f }
 
 func testView() *compiler.View {
+	call := func(name, method string, idempotent bool) compiler.Call {
+		return compiler.Call{
+			Name: name, Service: service, Method: method, Path: "/" + name, Rank: "urgent", Timeout: 2000,
+			Idempotent: idempotent, Internal: name == "audit",
+		}
+	}
 	return &compiler.View{
 		Version:  7,
 		Services: []compiler.Service{{Name: service, Zones: []string{"a"}, Slots: 4, Connections: 130}},
 		Accounts: []compiler.Account{{
 			Name: "wick", Host: "wick.example",
-			Ranks: []compiler.Rank{{Name: "urgent", Order: 1, Target: 200, Share: 50}},
-			Calls: []compiler.Call{
-				{Name: "book", Service: service, Method: "POST", Path: "/book", Rank: "urgent", Timeout: 1000},
-				{Name: "check", Service: service, Method: "GET", Path: "/check", Rank: "urgent", Timeout: 1000, Idempotent: true},
-				{Name: "audit", Service: service, Method: "GET", Path: "/audit", Rank: "urgent", Internal: true, Timeout: 1000},
-			},
+			Ranks: []compiler.Rank{{Name: "urgent", Order: 1, Share: 50}},
+			Calls: []compiler.Call{call("book", "POST", false), call("check", "GET", true), call("audit", "GET", true)},
 		}},
 	}
 }
 
-func serve(m *mesh, address string, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	m.servers = append(m.servers, server)
+// records is a coordinator that grants every claim of an unknown id and keeps answers.
+type records struct {
+	mutex sync.Mutex
+	known map[string]deduplicator.Record
+}
+
+func (c *records) Claim(_ context.Context, r deduplicator.Request) (deduplicator.Decision, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch found := c.known[r.ID]; found.State {
+	case deduplicator.StateDone:
+		return deduplicator.Replay{Answer: *found.Answer}, nil
+	case deduplicator.StateClaimed:
+		return deduplicator.Wait{Record: found, After: 20}, nil
+	case deduplicator.StateNone, deduplicator.StateReleased:
+	}
+	c.known[r.ID] = deduplicator.Record{State: deduplicator.StateClaimed, Account: r.Account}
+	return deduplicator.Proceed{Until: 1 << 50, Sequence: 1}, nil
+}
+
+func (c *records) Release(_ context.Context, r deduplicator.Request) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.known[r.ID] = deduplicator.Record{State: deduplicator.StateReleased, Account: r.Account}
+	return nil
+}
+
+func (c *records) Complete(_ context.Context, r deduplicator.Request, a deduplicator.Answer) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.known[r.ID] = deduplicator.Record{
+		State: deduplicator.StateDone, Account: r.Account, Status: a.Status, Answer: &a,
+	}
+	return nil
+}
+
+func (c *records) Lookup(_ context.Context, id string) (deduplicator.Record, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.known[id], nil
+}
+
+func (m *mesh) serve(address string, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: silent}
 	listener := m.network.Listen(address)
 	go func() { _ = server.Serve(listener) }()
+	m.end = append(m.end, func() { _ = server.Close() })
 }
 
-// newMesh starts one entry node and a host node with an upstream for each of the options. It must run in a bubble.
-func newMesh(t *testing.T, adjust func(i int, o *Options), upstreams ...faker.UpstreamOptions) *mesh {
+// newMesh starts an entry node, and a host node and a link for each upstream. It must run in a bubble.
+func newMesh(t *testing.T, adjust func(o *Options), link faker.LinkOptions, upstreams ...faker.UpstreamOptions) *mesh {
 	t.Helper()
-	m := &mesh{network: faker.NewNetwork()}
-	clock := timekeeper.System()
+	m := &mesh{network: faker.NewNetwork(), records: &records{known: make(map[string]deduplicator.Record)}}
+	if adjust == nil {
+		adjust = func(*Options) {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.end = append(m.end, cancel)
 	for i, options := range upstreams {
-		name := string(rune('a' + i))
-		upstream := faker.NewUpstream(options)
-		listener := m.network.Listen("upstream-" + name + ":1")
-		go upstream.Serve(listener)
-		o := Options{
-			Clock: clock, Name: name, Dial: m.network.Dial, Upstream: "upstream-" + name + ":1",
-			Queue: admitter.New(admitter.Options{Clock: clock, Slots: 4}),
-		}
-		if adjust != nil {
-			adjust(i, &o)
-		}
-		host := NewHost(o)
-		serve(m, "peer-"+name+":1", host)
-		m.hosts, m.upstreams = append(m.hosts, host), append(m.upstreams, upstream)
-		m.members = append(m.members, tracker.Member{
-			Name: name, Zone: "a", Service: service, Peer: "peer-" + name + ":1", Slots: 4, State: tracker.StateReady,
-		})
+		m.addHost(ctx, string(rune('a'+i)), adjust, link, options)
 	}
+	clock := timekeeper.System()
+	m.client = messenger.NewClient(messenger.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return m.network.Dial(ctx, "tcp", address)
+	}})
 	o := Options{
 		Clock: clock, Name: "entry", Zone: "a", Dial: m.network.Dial, Views: fixedViews{testView()},
-		Picker:   router.NewPicker(router.Options{Directory: fixedDirectory(m.members), Clock: clock, Zone: "a"}),
-		Internal: "secret",
+		Caller: m.client, Coordinator: m.records, Internal: "secret", Retrier: retrier.New(retrier.Options{Clock: clock}),
+		Picker: router.NewPicker(router.Options{Directory: fixedDirectory(m.members), Clock: clock, Zone: "a"}),
 	}
-	if adjust != nil {
-		adjust(-1, &o)
+	for range 1000 {
+		o.Retrier.First(service) // fills the retry budget
 	}
+	adjust(&o)
 	m.entry = NewEntry(o)
-	t.Cleanup(m.close)
 	return m
 }
 
+func (m *mesh) addHost(
+	ctx context.Context, name string, adjust func(o *Options), link faker.LinkOptions, options faker.UpstreamOptions,
+) {
+	clock := timekeeper.System()
+	upstream := faker.NewUpstream(options)
+	go upstream.Serve(m.network.Listen("upstream-" + name + ":1"))
+	queue := admitter.New(admitter.Options{Clock: clock, Slots: 4})
+	gate := drainer.New(drainer.Options{Close: queue.Drain})
+	probe := prober.New(prober.Options{URL: "http://upstream-" + name + ":1/health", Dial: m.network.Dial})
+	go func() { _ = probe.Run(ctx) }()
+	o := Options{
+		Clock: clock, Name: name, Dial: m.network.Dial, Upstream: "upstream-" + name + ":1", Queue: queue, Gate: gate,
+		Coordinator: m.records, Prober: probe,
+	}
+	adjust(&o)
+	host := NewHost(o)
+	rpc := messenger.NewServer(messenger.Options{})
+	_ = rpc.Register("Forwarder", host.Receiver())
+	m.serve("host-"+name+":1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			rpc.ServeHTTP(w, r)
+			return
+		}
+		host.ServeHTTP(w, r)
+	}))
+	between := faker.NewLink(link, func(ctx context.Context) (net.Conn, error) {
+		return m.network.Dial(ctx, "tcp", "host-"+name+":1")
+	})
+	go between.Serve(ctx, m.network.Listen("peer-"+name+":1"))
+	m.end = append(m.end, host.Close, upstream.Crash, rpc.Close)
+	m.hosts, m.upstreams = append(m.hosts, host), append(m.upstreams, upstream)
+	m.links, m.gates = append(m.links, between), append(m.gates, gate)
+	m.members = append(m.members, tracker.Member{
+		Name: name, Zone: "a", Service: service, Peer: "peer-" + name + ":1", Slots: 4, State: tracker.StateReady,
+	})
+}
+
 func (m *mesh) close() {
 	m.entry.Close()
-	for _, host := range m.hosts {
-		host.Close()
-	}
-	for _, server := range m.servers {
-		_ = server.Close()
+	m.client.Close()
+	for _, end := range m.end {
+		end()
 	}
+}
+
+// runs returns how often an id was started on all upstreams.
+func (m *mesh) runs(id string) int {
+	sum := 0
 	for _, upstream := range m.upstreams {
-		upstream.Crash()
+		sum += upstream.Runs(id)
 	}
+	return sum
 }
 
 // send runs one request through the entry node's handler.
@@ -122,18 +211,24 @@
 	return recorder
 }
 
-// Guards against a hop that loses the request's body, the answer or the headers of the request path.
-func TestHop(t *testing.T) {
+func outcomeOf(r *httptest.ResponseRecorder) classifier.Outcome {
+	return classifier.Outcome(r.Header().Get(headerOutcome))
+}
+
+// inBubble runs a test on a mesh with fake time and checks that every goroutine ends.
+func inBubble(
+	t *testing.T, adjust func(o *Options), link faker.LinkOptions, options []faker.UpstreamOptions,
+	test func(t *testing.T, m *mesh),
+) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, nil, faker.UpstreamOptions{})
-		got := m.send(t.Context(), http.MethodPost, "/book/9?day=2", "sacks=3")
-		if got.Code != http.StatusOK || got.Header().Get(headerOutcome) != "answered" {
-			t.Fatalf("status %d, header %v, body %s", got.Code, got.Header(), got.Body)
-		}
-		id := got.Header().Get(headerID)
-		if !validID(id) || got.Body.String() != "ran "+id+"\n" || m.upstreams[0].Runs(id) != 1 {
-			t.Fatalf("id %q, body %q", id, got.Body)
-		}
+		m := newMesh(t, adjust, link, options...)
+		synctest.Wait()
+		test(t, m)
 		m.close()
 	})
 }
+
+func taking(span timekeeper.Millis) faker.UpstreamOptions {
+	return faker.UpstreamOptions{Service: func(*http.Request) timekeeper.Millis { return span }}
+}
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -39,6 +39,7 @@
 // Gate counts calls in flight and closes for a planned stop; *drainer.Drainer satisfies it.
 type Gate interface {
 	Begin() bool // false once the node drains
+	Hold()       // for work that outlives a call that was let in
 	End()
 }
 
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -1,6 +1,9 @@
 package forwarder
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // maxPooledBytes keeps rare large buffers out of the pool.
 const maxPooledBytes = 128 << 10
@@ -23,9 +26,12 @@
 	p.values.Put(value)
 }
 
-// buffer is a reusable run of bytes.
+// buffer is a reusable run of bytes. It goes back to the pool with its last holder: net/http may read a request body
+// after RoundTrip has returned.
 type buffer struct {
-	bytes []byte
+	bytes   []byte
+	holders atomic.Int32 // besides the first one
+	foreign bool         // the bytes belong to a record and are not for the pool
 }
 
 var (
@@ -33,11 +39,19 @@
 	chunks  = newPool(func() *[32 << 10]byte { return new([32 << 10]byte) }) // for streaming copies
 )
 
+// foreignBuffer returns a buffer around bytes that are kept elsewhere.
+func foreignBuffer(content []byte) *buffer {
+	return &buffer{bytes: content, foreign: true}
+}
+
+// releaseBuffer ends the hold of one holder.
 func releaseBuffer(b *buffer) {
-	if b != nil && cap(b.bytes) <= maxPooledBytes {
-		b.bytes = b.bytes[:0]
-		buffers.put(b)
+	if b == nil || b.holders.Add(-1) >= 0 || b.foreign || cap(b.bytes) > maxPooledBytes {
+		return
 	}
+	b.holders.Store(0)
+	b.bytes = b.bytes[:0]
+	buffers.put(b)
 }
 
 // grow makes room for n bytes behind the current content.
--- a/internal/forwarder/receiver.go
+++ b/internal/forwarder/receiver.go
@@ -21,6 +21,7 @@
 // Query names an attempt. Deadline is in ms since the Unix epoch by the clock of the entry node.
 type Query struct {
 	ID       string            `msgpack:"i"`
+	Token    uint64            `msgpack:"t"`
 	Attempt  int               `msgpack:"a"`
 	Deadline timekeeper.Millis `msgpack:"d"`
 }
@@ -72,7 +73,7 @@
 		if !validID(q.ID) || q.Deadline > now+24*60*timekeeper.Minute {
 			return classifier.New(classifier.CodePeerInvalid, "forwarder", "a query is out of range")
 		}
-		state, code := c.host.attempts.look(now, attemptKey{q.ID, q.Attempt}, q.Deadline, arguments.Fence)
+		state, code := c.host.attempts.look(now, attemptKey{q.ID, q.Token, q.Attempt}, q.Deadline, arguments.Fence)
 		reply.Findings = append(reply.Findings, Finding{State: state, Code: code})
 	}
 	if arguments.Answer && len(reply.Findings) == 1 && reply.Findings[0].State == StateDone {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -102,9 +102,11 @@
 
 // background runs work on a record beside the response. The gate counts it, so that a drain waits for it.
 func (h *Host) background(x *run, work func(ctx context.Context) error) {
-	counted := h.Gate != nil && h.Gate.Begin()
+	if h.Gate != nil {
+		h.Gate.Hold()
+	}
 	go func() {
-		if counted {
+		if h.Gate != nil {
 			defer h.Gate.End()
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout.Duration())
@@ -118,7 +120,7 @@
 // replay answers with the first answer to the id.
 func (h *Host) replay(x *run, first *deduplicator.Answer) {
 	a := &answer{status: first.Status, header: first.Header, length: int64(len(first.Body))}
-	a.body = &buffer{bytes: first.Body}
+	a.body = foreignBuffer(first.Body)
 	a.write(x.writer, x.job, encodeLoad(h.Queue.Load()))
 }
 
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -87,12 +87,12 @@
 // answered is the end of an attempt with a kept answer.
 func answered(a *deduplicator.Answer) *ending {
 	return &ending{
-		status: a.Status, header: http.Header(a.Header), body: &buffer{bytes: a.Body}, length: int64(len(a.Body)),
+		status: a.Status, header: http.Header(a.Header), body: foreignBuffer(a.Body), length: int64(len(a.Body)),
 	}
 }
 
 func (c *call) query() Query {
-	return Query{ID: c.job.ID, Attempt: c.job.Attempt, Deadline: c.deadline}
+	return Query{ID: c.job.ID, Token: c.job.Token, Attempt: c.job.Attempt, Deadline: c.deadline}
 }
 
 func pause(ctx context.Context, span timekeeper.Millis) {
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -92,7 +92,7 @@
 	}
 	switch {
 	case x.body != nil:
-		request.Body, request.ContentLength = newOnce(x.body.bytes), r.ContentLength
+		request.Body, request.ContentLength = newOnce(x.body), r.ContentLength
 	case r.ContentLength > 0:
 		request.Body, request.ContentLength = io.NopCloser(r.Body), r.ContentLength
 	case j.Method == http.MethodGet, j.Method == http.MethodHead:
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -24,7 +24,8 @@
 	entry *Entry
 	mutex sync.Mutex
 	peers map[string]map[*watched]bool
-	off   bool // set by tests only
+	ctx   context.Context // ends with the entry node
+	off   bool            // set by tests only
 }
 
 // watched is an exchange under watch.
@@ -36,8 +37,8 @@
 	against int
 }
 
-func newWatcher(e *Entry) *watcher {
-	return &watcher{entry: e, peers: make(map[string]map[*watched]bool)}
+func newWatcher(ctx context.Context, e *Entry) *watcher {
+	return &watcher{entry: e, ctx: ctx, peers: make(map[string]map[*watched]bool)}
 }
 
 // begin watches an exchange until stop is called.
@@ -89,11 +90,15 @@
 			arguments.Queries = append(arguments.Queries, one.query)
 		}
 		var reply OutcomeReply
-		err := w.entry.Caller.Call(context.Background(), peer, outcomeMethod, &arguments, &reply, watchTimeout)
+		err := w.entry.Caller.Call(w.ctx, peer, outcomeMethod, &arguments, &reply, watchTimeout)
 		if w.judge(calls, &reply, err) {
 			w.entry.transport.CloseIdleConnections()
 		}
-		<-ticker.C
+		select {
+		case <-ticker.C:
+		case <-w.ctx.Done():
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,106 @@
+package prober
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// observe probes an upstream, lets something happen to it, probes again and returns what the prober then says.
+func observe(
+	t *testing.T, off bool, options faker.UpstreamOptions, happen func(u *faker.Upstream, restart func()),
+) (alive bool, restarts uint64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := faker.NewNetwork()
+		upstream := faker.NewUpstream(options)
+		restart := func() { go upstream.Serve(network.Listen("upstream:1")) }
+		restart()
+		p := New(Options{URL: "http://upstream:1/health", Dial: network.Dial})
+		p.noWatch = off
+		synctest.Wait()
+		<-time.After(time.Minute)
+		if !p.Check(t.Context()) || p.Restarts() != 0 {
+			t.Error("not alive at first")
+		}
+		happen(upstream, restart)
+		synctest.Wait()
+		alive = p.Check(t.Context())
+		if alive != p.Alive() {
+			t.Error("Alive differs from the last probe")
+		}
+		restarts = p.Restarts()
+		p.transport.CloseIdleConnections()
+		upstream.Crash()
+	})
+	return alive, restarts
+}
+
+// Guards against a death or a quick restart that goes unseen, and a lagging or slow health endpoint that is taken for
+// one.
+func TestDeathAndRestart(t *testing.T) {
+	crash := func(u *faker.Upstream, _ func()) { u.Crash() }
+	quick := func(u *faker.Upstream, restart func()) { u.Crash(); restart() }
+	drain := func(u *faker.Upstream, _ func()) { u.Drain() }
+	nothing := func(*faker.Upstream, func()) {}
+	lag := faker.UpstreamOptions{Lag: 30 * timekeeper.Second}
+	for _, c := range []struct {
+		name     string
+		off      bool
+		options  faker.UpstreamOptions
+		happen   func(u *faker.Upstream, restart func())
+		alive    bool
+		restarts uint64
+	}{
+		{"nothing", false, faker.UpstreamOptions{}, nothing, true, 0},
+		{"crash", false, faker.UpstreamOptions{}, crash, false, 1},
+		{"quick restart", false, faker.UpstreamOptions{}, quick, true, 1},
+		{"quick restart, not watched", true, faker.UpstreamOptions{}, quick, true, 0},
+		{"drain", false, faker.UpstreamOptions{}, drain, false, 0},
+		{"drain with a lagging endpoint", false, lag, drain, true, 0},
+		{"crash with a lagging endpoint", false, lag, crash, false, 1},
+	} {
+		alive, restarts := observe(t, c.off, c.options, c.happen)
+		if alive != c.alive || restarts != c.restarts {
+			t.Errorf("%s: alive %v, restarts %d", c.name, alive, restarts)
+		}
+	}
+}
+
+// Guards against a slow endpoint that is taken for a death, and a Run that outlives its context.
+func TestSlowEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := faker.NewNetwork()
+		var slow atomic.Bool
+		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(
+			func(_ http.ResponseWriter, r *http.Request) {
+				if slow.Load() {
+					<-r.Context().Done()
+				}
+			})}
+		go func() { _ = server.Serve(network.Listen("upstream:1")) }()
+		synctest.Wait()
+		changes := 0
+		p := New(Options{URL: "http://upstream:1/", Dial: network.Dial, Changed: func(bool) { changes++ }})
+		ended := make(chan error)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { ended <- p.Run(ctx) }()
+		<-time.After(1500 * time.Millisecond)
+		slow.Store(true)
+		<-time.After(3 * time.Second)
+		if p.Alive() || p.Restarts() != 0 || changes != 2 {
+			t.Errorf("alive %v, restarts %d, changes %d", p.Alive(), p.Restarts(), changes)
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		_ = server.Close()
+	})
+}
