Test the publication under interleaved publishers, faults and garbage collection

Cause: the guarantees of the head (no step back, no partial set, one winner of a race, no change by folding) were not shown under pauses, crashes, outages and lost answers. Ruled out: pausing real goroutines inside the stand-in's fault hook, which runs under its lock; the publication cycle is a state machine, so a seeded schedule interleaves its platform calls directly. Change: a seeded world with 2 or 3 publishers, racing operators, repeated and broken sets, direct writes and a collector whose calls are interleaved with publishers; a test that each of eight mechanisms, when switched off, lets a schedule violate its property. Decoded sources are cached between compilations, and the zstd window fits the body.

--- a/internal/compiler/compile.go
+++ b/internal/compiler/compile.go
@@ -13,7 +13,12 @@
 
 // Compile turns sources into a view without a version. A view with problems must not be used.
 func Compile(sources []Source) (View, []Problem) {
+	return NewCache().Compile(sources)
+}
+
+func compile(sources []Source, cache *Cache) (View, []Problem) {
 	state := compilation{
+		cache:     cache,
 		templates: make(map[string]Template),
 		broken:    make(map[string]bool),
 		hosts:     make(map[string]string),
@@ -37,6 +42,7 @@
 
 // compilation collects the parts of a view.
 type compilation struct {
+	cache     *Cache
 	templates map[string]Template
 	broken    map[string]bool    // templates with problems of their own
 	hosts     map[string]string  // account by host
@@ -58,7 +64,7 @@
 		return
 	}
 	name := strings.TrimPrefix(source.Name, TemplatePrefix)
-	template, problems := decodeTemplate(source)
+	template, problems := c.cache.template(source)
 	c.templates[name] = template
 	c.broken[name] = len(problems) > 0
 	c.problems = append(c.problems, problems...)
@@ -69,7 +75,7 @@
 		c.refuse(source.Name, "", classifier.CodeSourceInvalid, "source name is not valid")
 		return
 	}
-	decoded, problems := decodeAccount(source)
+	decoded, problems := c.cache.account(source)
 	c.problems = append(c.problems, problems...)
 	if len(problems) > 0 {
 		return
--- a/internal/compiler/delta.go
+++ b/internal/compiler/delta.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"math/bits"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/vmihailenco/msgpack/v5"
@@ -168,7 +169,12 @@
 }
 
 func compress(body, dictionary []byte) ([]byte, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false), zstd.WithLowerEncoderMem(true)}
+	// A window just large enough for both texts saves clearing megabytes for a body of a few hundred bytes.
+	window := max(zstd.MinWindowSize, 1<<bits.Len(uint(len(body)+len(dictionary))))
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(window),
+	}
 	if len(dictionary) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(1, dictionary))
 	}
--- a/internal/publisher/collect.go
+++ b/internal/publisher/collect.go
@@ -23,9 +23,14 @@
 // collector remembers since when each section has been unreferenced. The platform keeps no creation times, so the age
 // counts from the first time that this node saw the revision unreferenced.
 type collector struct {
+	kept  uint64 // versions whose sections are kept
 	since map[identity]timekeeper.Millis
 }
 
+func newCollector() *collector {
+	return &collector{kept: keptVersions, since: make(map[identity]timekeeper.Millis)}
+}
+
 // identity is one revision of a section.
 type identity struct {
 	name     string
@@ -46,7 +51,7 @@
 		if err != nil {
 			continue
 		}
-		if number+keptVersions <= head.Version {
+		if number+c.kept <= head.Version {
 			victims = append(victims, record)
 			continue
 		}
@@ -79,11 +84,11 @@
 
 // collectLoop collects garbage while the lease is held.
 func (p *Publisher) collectLoop(ctx context.Context, held *atomic.Bool) error {
-	garbage := &collector{}
+	garbage := newCollector()
 	pruned := p.options.Clock.Now()
 	for connector.Sleep(ctx, collectPeriod) == nil {
 		if !held.Load() {
-			garbage = &collector{}
+			garbage = newCollector()
 			continue
 		}
 		if err := p.collect(ctx, garbage); err != nil {
@@ -123,8 +128,10 @@
 	if len(victims) == 0 {
 		return nil
 	}
-	if _, err := platform.Put(ctx, object); err != nil {
-		return err
+	if !p.off.noGuard {
+		if _, err := platform.Put(ctx, object); err != nil {
+			return err
+		}
 	}
 	for _, victim := range victims {
 		err := platform.Delete(ctx, victim.Kind, victim.Name, victim.Revision)
--- a/internal/publisher/cycle.go
+++ b/internal/publisher/cycle.go
@@ -150,7 +150,7 @@
 		return finish{}
 	}
 	c.resolved = c.snapshot.Revision
-	c.plan = resolve(c.snapshot, c.head.Operations, c.off)
+	c.plan = resolve(c.snapshot, c.head.Operations, c.store.cache, c.off)
 	if len(c.plan.Problems) > 0 {
 		refusal := problemRefusal(c.plan.Problems[0].Code, c.plan.Problems)
 		c.plan.refused = append(c.plan.refused, refusal)
@@ -225,7 +225,7 @@
 // onSection continues with the next section. One that exists is written again with its own value, so that a
 // conditional deletion by the garbage collector, which saw the old revision, cannot remove it.
 func (c *cycle) onSection(contested bool) action {
-	if contested {
+	if contested && !c.off.noTouch {
 		c.phase = phaseTouch
 		c.sections[0].Revision = 0
 		return getObject{kind: connector.KindSection, name: c.sections[0].Name}
--- a/internal/publisher/resolve.go
+++ b/internal/publisher/resolve.go
@@ -18,6 +18,8 @@
 	noCompile   bool // accept sets and sources that do not compile
 	noAtomic    bool // accept the edits of a set one by one
 	noOverlay   bool // ignore accepted sets that are not folded yet
+	noTouch     bool // rely on an existing section without writing it again
+	noGuard     bool // collect garbage without writing the head again first
 }
 
 // Plan is what a snapshot of the sources resolves to.
@@ -46,19 +48,21 @@
 }
 
 type resolution struct {
-	off     mechanisms
-	sources map[string]state
-	plan    Plan
+	off      mechanisms
+	cache    *compiler.Cache
+	sources  map[string]state
+	plan     Plan
+	compiled bool // View and Problems of the plan are those of sources
 }
 
 // Resolve overlays the sets of a snapshot on its sources in revision order and compiles the result. Operations are
 // the decisions that the head holds already. It depends on nothing else, so all publishers resolve a snapshot alike.
 func Resolve(snapshot connector.Snapshot, operations []Operation) Plan {
-	return resolve(snapshot, operations, mechanisms{})
+	return resolve(snapshot, operations, compiler.NewCache(), mechanisms{})
 }
 
-func resolve(snapshot connector.Snapshot, operations []Operation, off mechanisms) Plan {
-	r := &resolution{off: off, sources: make(map[string]state)}
+func resolve(snapshot connector.Snapshot, operations []Operation, cache *compiler.Cache, off mechanisms) Plan {
+	r := &resolution{off: off, cache: cache, sources: make(map[string]state)}
 	var sets []connector.Object
 	for _, object := range snapshot.Objects {
 		if strings.HasPrefix(object.Name, SetPrefix) {
@@ -116,7 +120,7 @@
 		before[set.Edits[i].Name] = r.sources[set.Edits[i].Name]
 		r.put(&set.Edits[i], object.Revision)
 	}
-	if _, problems := compiler.Compile(r.list()); len(problems) > 0 && !r.off.noCompile {
+	if problems := r.compile(); len(problems) > 0 && !r.off.noCompile {
 		for name, previous := range before {
 			r.restore(name, previous)
 		}
@@ -135,7 +139,7 @@
 		}
 		before := r.sources[set.Edits[i].Name]
 		r.put(&set.Edits[i], object.Revision)
-		if _, problems := compiler.Compile(r.list()); len(problems) > 0 {
+		if len(r.compile()) > 0 {
 			r.restore(set.Edits[i].Name, before)
 		}
 	}
@@ -171,11 +175,23 @@
 	return conflicts
 }
 
+// compile compiles the sources as they are now, unless that was done already.
+func (r *resolution) compile() []compiler.Problem {
+	if !r.compiled {
+		r.plan.Sources = r.list()
+		r.plan.View, r.plan.Problems = r.cache.Compile(r.plan.Sources)
+		r.compiled = true
+	}
+	return r.plan.Problems
+}
+
 func (r *resolution) put(edit *Edit, set uint64) {
+	r.compiled = false
 	r.sources[edit.Name] = state{value: edit.value(), revision: r.sources[edit.Name].revision, set: set}
 }
 
 func (r *resolution) restore(name string, previous state) {
+	r.compiled = false
 	if previous.revision == 0 && previous.set == 0 {
 		delete(r.sources, name)
 		return
@@ -196,8 +212,7 @@
 }
 
 func (r *resolution) finish() {
-	r.plan.Sources = r.list()
-	r.plan.View, r.plan.Problems = compiler.Compile(r.plan.Sources)
+	r.compile()
 	for name, current := range r.sources {
 		if current.set != 0 {
 			r.plan.folds = append(r.plan.folds, connector.Object{
--- a/internal/publisher/store.go
+++ b/internal/publisher/store.go
@@ -1,16 +1,20 @@
 package publisher
 
+import "github.com/jasmineproxy/jasmineproxy/internal/compiler"
+
 // maxStored bounds the sections that a publisher keeps in memory to compute deltas.
 const maxStored = 512
 
-// store keeps section bodies by digest. The oldest are dropped first. It is not safe for concurrent use.
+// store is what a publisher keeps from one cycle to the next: section bodies by digest, of which the oldest are
+// dropped first, and decoded sources. It is not safe for concurrent use.
 type store struct {
+	cache  *compiler.Cache
 	bodies map[string][]byte
 	order  []string
 }
 
 func newStore() *store {
-	return &store{bodies: make(map[string][]byte)}
+	return &store{cache: compiler.NewCache(), bodies: make(map[string][]byte)}
 }
 
 func (s *store) get(digest string) []byte {
