--- /dev/null
+++ b/internal/connector/client_test.go
@@ -0,0 +1,150 @@
+package connector_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+func newClient(t *testing.T, handler http.Handler) *connector.Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return connector.NewClient(connector.Options{
+		URL: server.URL + "/", Rate: 1000, Burst: 100, Timeout: 5 * timekeeper.Second,
+	})
+}
+
+func expect(t *testing.T, step string, want classifier.Code, err error) {
+	t.Helper()
+	if (err == nil) != (want == classifier.CodeOK) || classifier.CodeOf(err) != want {
+		t.Fatalf("%s: error is %v, not code %d", step, err, want)
+	}
+}
+
+// Guards against a client that loses a revision, a condition, a deletion or an odd name on its way over HTTP.
+func TestClientKeepsConditionsOverHTTP(t *testing.T) {
+	client := newClient(t, faker.Handler(faker.NewPlatform()))
+	ctx := t.Context()
+	object := connector.Object{Kind: "source", Name: "account.a b/ü?", Value: []byte("one")}
+	_, err := client.Get(ctx, object.Kind, object.Name)
+	expect(t, "get of a missing object", classifier.CodeObjectMissing, err)
+	created, err := client.Put(ctx, object)
+	expect(t, "create", classifier.CodeOK, err)
+	_, err = client.Put(ctx, object)
+	expect(t, "second create", classifier.CodeConflict, err)
+	object.Revision, object.Value = created, []byte{}
+	updated, err := client.Put(ctx, object)
+	expect(t, "update to an empty value", classifier.CodeOK, err)
+	_, err = client.Put(ctx, object)
+	expect(t, "update of an old revision", classifier.CodeConflict, err)
+	object.Revision = updated
+	got, err := client.Get(ctx, object.Kind, object.Name)
+	expect(t, "get", classifier.CodeOK, err)
+	if diff := cmp.Diff(object, got); diff != "" {
+		t.Fatalf("object differs (-want +got):\n%s", diff)
+	}
+	expect(t, "delete of an old revision", classifier.CodeConflict,
+		client.Delete(ctx, object.Kind, object.Name, created))
+	expect(t, "delete", classifier.CodeOK, client.Delete(ctx, object.Kind, object.Name, updated))
+	listed, err := client.List(ctx, object.Kind)
+	expect(t, "list", classifier.CodeOK, err)
+	if diff := cmp.Diff(connector.Snapshot{Revision: 3, Objects: []connector.Object{}}, listed); diff != "" {
+		t.Errorf("list differs (-want +got):\n%s", diff)
+	}
+	watched, err := client.Watch(ctx, object.Kind, updated, timekeeper.Minute)
+	expect(t, "watch", classifier.CodeOK, err)
+	want := connector.Snapshot{Revision: 3, Objects: []connector.Object{
+		{Kind: object.Kind, Name: object.Name, Revision: 3, Deleted: true},
+	}}
+	if diff := cmp.Diff(want, watched); diff != "" {
+		t.Errorf("watch differs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a watch that misses a change made while it waits, or that does not end after its wait.
+func TestClientWatchWaits(t *testing.T) {
+	platform := faker.NewPlatform()
+	client := newClient(t, faker.Handler(platform))
+	empty, err := client.Watch(t.Context(), "head", 0, 1)
+	expect(t, "watch without changes", classifier.CodeOK, err)
+	if len(empty.Objects) != 0 {
+		t.Fatalf("unexpected changes %+v", empty)
+	}
+	done := make(chan connector.Snapshot, 1)
+	go func() {
+		snapshot, _ := client.Watch(context.WithoutCancel(t.Context()), "head", 0, 30*timekeeper.Second)
+		done <- snapshot
+	}()
+	_, err = platform.Put(t.Context(), connector.Object{Kind: "head", Name: "head", Value: []byte("x")})
+	expect(t, "put", classifier.CodeOK, err)
+	if snapshot := <-done; len(snapshot.Objects) != 1 || string(snapshot.Objects[0].Value) != "x" {
+		t.Errorf("unexpected changes %+v", snapshot)
+	}
+}
+
+// Guards against failures that reach callers with the wrong code, since they decide by it whether to repeat.
+func TestClientMapsFailures(t *testing.T) {
+	platform := faker.NewPlatform()
+	platform.SetFault(func(o faker.Operation) faker.Fault {
+		return faker.Fault{Refuse: o.Name == "missing", Lose: o.Name == "head"}
+	})
+	client := newClient(t, faker.Handler(platform))
+	_, err := client.Get(t.Context(), "head", "missing")
+	expect(t, "outage", classifier.CodeUnavailable, err)
+	object := connector.Object{Kind: "head", Name: "head", Value: []byte("x")}
+	_, err = client.Put(t.Context(), object)
+	expect(t, "lost answer", classifier.CodeUnavailable, err)
+	platform.SetFault(nil)
+	_, err = client.Put(t.Context(), object)
+	expect(t, "repeat of a write that took effect", classifier.CodeConflict, err)
+	object.Value = make([]byte, connector.MaxValueBytes+1)
+	_, err = client.Put(t.Context(), object)
+	expect(t, "too large", classifier.CodeTooLarge, err)
+	answers := map[string]struct {
+		status int
+		body   string
+		want   classifier.Code
+	}{
+		"rate limit":   {http.StatusTooManyRequests, "", classifier.CodeRateLimited},
+		"server error": {http.StatusInternalServerError, "", classifier.CodeUnavailable},
+		"not JSON":     {http.StatusOK, "{", classifier.CodePlatformReply},
+	}
+	for name, answer := range answers {
+		broken := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(answer.status)
+			_, _ = w.Write([]byte(answer.body))
+		}))
+		_, err := broken.List(t.Context(), "head")
+		expect(t, name, answer.want, err)
+		if answer.status == http.StatusOK {
+			_, err = broken.Get(t.Context(), "head", "head")
+			expect(t, "answer without a revision", classifier.CodePlatformReply, err)
+		}
+	}
+}
+
+// Guards against a node that exceeds its share of the platform's rate.
+func TestClientBucketRefusesExcess(t *testing.T) {
+	platform := faker.NewPlatform()
+	server := httptest.NewServer(faker.Handler(platform))
+	t.Cleanup(server.Close)
+	client := connector.NewClient(connector.Options{URL: server.URL, Rate: 0.001, Burst: 2, Timeout: timekeeper.Second})
+	for range 2 {
+		_, err := client.List(t.Context(), "head")
+		expect(t, "call within the burst", classifier.CodeOK, err)
+	}
+	_, err := client.List(t.Context(), "head")
+	expect(t, "call over the rate", classifier.CodeRateLimited, err)
+	if diff := cmp.Diff(map[string]int{"list": 2}, platform.Calls()); diff != "" {
+		t.Errorf("calls differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/publisher/commit.go
+++ b/internal/publisher/commit.go
@@ -78,7 +78,8 @@
 func (c *cycle) operations(version uint64) []Operation {
 	all := append([]Operation(nil), c.head.Operations...)
 	for i := range c.plan.accepted {
-		all = append(all, Operation{ID: c.plan.accepted[i].Operation, Version: version})
+		set := &c.plan.accepted[i]
+		all = append(all, Operation{ID: set.Operation, Version: version, Revision: set.revision})
 	}
 	for i := range c.plan.refused {
 		if refusal := &c.plan.refused[i]; refusal.Operation != "" {
@@ -149,7 +150,7 @@
 	for _, object := range c.plan.sets {
 		id := strings.TrimPrefix(object.Name, SetPrefix)
 		mine, other := c.next.operation(id), head.operation(id)
-		if mine == nil || other == nil || mine.Code != other.Code {
+		if mine == nil || other == nil || *mine != *other {
 			return false
 		}
 	}
--- a/internal/publisher/head.go
+++ b/internal/publisher/head.go
@@ -32,11 +32,13 @@
 	Delta          []byte            `json:"-"              msgpack:"x"`
 }
 
-// Operation is a decided set: accepted in Version, or refused with Code.
+// Operation is a decided set: accepted in Version, or refused with Code. Revision is that of the set object; an object
+// of the same name and another revision is a repeated submission, whose edits must not be applied again.
 type Operation struct {
-	ID      string          `json:"id"             msgpack:"i"`
-	Version uint64          `json:"version"        msgpack:"v"`
-	Code    classifier.Code `json:"code,omitempty" msgpack:"c"`
+	ID       string          `json:"id"             msgpack:"i"`
+	Version  uint64          `json:"version"        msgpack:"v"`
+	Code     classifier.Code `json:"code,omitempty" msgpack:"c"`
+	Revision uint64          `json:"revision"       msgpack:"r"`
 }
 
 // Encode returns the stored form of the head.
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -97,7 +97,7 @@
 		for i := range c.plan.accepted {
 			set := &c.plan.accepted[i]
 			p.record(ctx, auditor.Entry{
-				Actor: set.Author, Action: "accept", Subject: SetPrefix + set.Operation, Reason: editNames(set),
+				Actor: set.Author, Action: "accept", Subject: SetPrefix + set.Operation, Reason: editNames(&set.Set),
 				From: c.head.Version, To: c.next.Version,
 			})
 		}
--- a/internal/publisher/resolve.go
+++ b/internal/publisher/resolve.go
@@ -18,6 +18,7 @@
 	noCompile   bool // accept sets and sources that do not compile
 	noAtomic    bool // accept the edits of a set one by one
 	noOverlay   bool // ignore accepted sets that are not folded yet
+	noIdentity  bool // apply a decided set again when it is submitted again
 	noTouch     bool // rely on an existing section without writing it again
 	noGuard     bool // collect garbage without writing the head again first
 }
@@ -29,12 +30,18 @@
 	Problems []compiler.Problem // why the sources do not compile
 	Author   string             // author of the last newly accepted set
 
-	accepted []Set              // newly accepted, in order
+	accepted []acceptedSet      // newly accepted, in order
 	refused  []Refusal          // newly refused
 	folds    []connector.Object // source objects to write, with the revisions they replace
 	sets     []connector.Object // decided set objects to delete after the folds, in order
 }
 
+// acceptedSet is a set with the revision of its object.
+type acceptedSet struct {
+	Set
+	revision uint64
+}
+
 // state is a source during the resolution.
 type state struct {
 	value    []byte
@@ -79,7 +86,9 @@
 		switch {
 		case decided != nil && decided.Code != classifier.CodeOK:
 		case decided != nil:
-			r.overlayAccepted(object, &set)
+			if decided.Revision == object.Revision || off.noIdentity {
+				r.overlayAccepted(object, &set)
+			}
 		case err != nil:
 			r.refuse(object, &set, errorRefusal(err))
 		default:
@@ -127,7 +136,7 @@
 		r.refuse(object, set, problemRefusal(classifier.CodeSetRefused, problems))
 		return
 	}
-	r.accept(set)
+	r.accept(object, set)
 }
 
 // decideSingly is decide without atomic sets, for tests.
@@ -143,11 +152,11 @@
 			r.restore(set.Edits[i].Name, before)
 		}
 	}
-	r.accept(set)
+	r.accept(object, set)
 }
 
-func (r *resolution) accept(set *Set) {
-	r.plan.accepted = append(r.plan.accepted, *set)
+func (r *resolution) accept(object connector.Object, set *Set) {
+	r.plan.accepted = append(r.plan.accepted, acceptedSet{Set: *set, revision: object.Revision})
 	r.plan.Author = set.Author
 }
 
--- a/internal/publisher/schedule_test.go
+++ b/internal/publisher/schedule_test.go
@@ -44,6 +44,7 @@
 		{"compilation before acceptance", mechanisms{noCompile: true}, true, 0, brokenHead},
 		{"atomic sets", mechanisms{noAtomic: true}, false, 1, partialSet},
 		{"overlay of accepted sets", mechanisms{noOverlay: true}, false, 0, changedView},
+		{"identity of sets", mechanisms{noIdentity: true}, false, 0, changedView},
 		{"touched sections", mechanisms{noTouch: true}, false, 28, lostSection},
 		{"guard of garbage collection", mechanisms{noGuard: true}, false, 16, lostSection},
 	}
--- a/internal/publisher/world_test.go
+++ b/internal/publisher/world_test.go
@@ -192,7 +192,12 @@
 	}
 	switch w.random.IntN(9) {
 	case 0:
-		w.put(w.sets[w.random.IntN(len(w.sets))])
+		set := w.sets[w.random.IntN(len(w.sets))]
+		set.Edits = append([]Edit(nil), set.Edits...)
+		for i := range set.Edits { // as a submitter does for a source that was deleted
+			set.Edits[i].Base = sources[set.Edits[i].Name].Revision
+		}
+		w.put(set)
 	case 1:
 		pair[w.random.IntN(2)].Value = "account: wrong\n"
 		w.submit(Set{Edits: pair})
