--- a/internal/publisher/resolve.go
+++ b/internal/publisher/resolve.go
@@ -18,6 +18,9 @@
 	noCompile   bool // accept sets and sources that do not compile
 	noAtomic    bool // accept the edits of a set one by one
 	noOverlay   bool // ignore accepted sets that are not folded yet
+	noIdentity  bool // apply a decided set again when it is submitted again
+	noTouch     bool // rely on an existing section without writing it again
+	noGuard     bool // collect garbage without writing the head again first
 }
 
 // Plan is what a snapshot of the sources resolves to.
@@ -27,12 +30,18 @@
 	Problems []compiler.Problem // why the sources do not compile
 	Author   string             // author of the last newly accepted set
 
-	accepted []Set              // newly accepted, in order
+	accepted []acceptedSet      // newly accepted, in order
 	refused  []Refusal          // newly refused
 	folds    []connector.Object // source objects to write, with the revisions they replace
 	sets     []connector.Object // decided set objects to delete after the folds, in order
 }
 
+// acceptedSet is a set with the revision of its object.
+type acceptedSet struct {
+	Set
+	revision uint64
+}
+
 // state is a source during the resolution.
 type state struct {
 	value    []byte
@@ -46,19 +55,21 @@
 }
 
 type resolution struct {
-	off     mechanisms
-	sources map[string]state
-	plan    Plan
+	off      mechanisms
+	cache    *compiler.Cache
+	sources  map[string]state
+	plan     Plan
+	compiled bool // View and Problems of the plan are those of sources
 }
 
 // Resolve overlays the sets of a snapshot on its sources in revision order and compiles the result. Operations are
 // the decisions that the head holds already. It depends on nothing else, so all publishers resolve a snapshot alike.
 func Resolve(snapshot connector.Snapshot, operations []Operation) Plan {
-	return resolve(snapshot, operations, mechanisms{})
+	return resolve(snapshot, operations, compiler.NewCache(), mechanisms{})
 }
 
-func resolve(snapshot connector.Snapshot, operations []Operation, off mechanisms) Plan {
-	r := &resolution{off: off, sources: make(map[string]state)}
+func resolve(snapshot connector.Snapshot, operations []Operation, cache *compiler.Cache, off mechanisms) Plan {
+	r := &resolution{off: off, cache: cache, sources: make(map[string]state)}
 	var sets []connector.Object
 	for _, object := range snapshot.Objects {
 		if strings.HasPrefix(object.Name, SetPrefix) {
@@ -75,7 +86,9 @@
 		switch {
 		case decided != nil && decided.Code != classifier.CodeOK:
 		case decided != nil:
-			r.overlayAccepted(object, &set)
+			if decided.Revision == object.Revision || off.noIdentity {
+				r.overlayAccepted(object, &set)
+			}
 		case err != nil:
 			r.refuse(object, &set, errorRefusal(err))
 		default:
@@ -116,14 +129,14 @@
 		before[set.Edits[i].Name] = r.sources[set.Edits[i].Name]
 		r.put(&set.Edits[i], object.Revision)
 	}
-	if _, problems := compiler.Compile(r.list()); len(problems) > 0 && !r.off.noCompile {
+	if problems := r.compile(); len(problems) > 0 && !r.off.noCompile {
 		for name, previous := range before {
 			r.restore(name, previous)
 		}
 		r.refuse(object, set, problemRefusal(classifier.CodeSetRefused, problems))
 		return
 	}
-	r.accept(set)
+	r.accept(object, set)
 }
 
 // decideSingly is decide without atomic sets, for tests.
@@ -135,15 +148,15 @@
 		}
 		before := r.sources[set.Edits[i].Name]
 		r.put(&set.Edits[i], object.Revision)
-		if _, problems := compiler.Compile(r.list()); len(problems) > 0 {
+		if len(r.compile()) > 0 {
 			r.restore(set.Edits[i].Name, before)
 		}
 	}
-	r.accept(set)
+	r.accept(object, set)
 }
 
-func (r *resolution) accept(set *Set) {
-	r.plan.accepted = append(r.plan.accepted, *set)
+func (r *resolution) accept(object connector.Object, set *Set) {
+	r.plan.accepted = append(r.plan.accepted, acceptedSet{Set: *set, revision: object.Revision})
 	r.plan.Author = set.Author
 }
 
@@ -171,11 +184,23 @@
 	return conflicts
 }
 
+// compile compiles the sources as they are now, unless that was done already.
+func (r *resolution) compile() []compiler.Problem {
+	if !r.compiled {
+		r.plan.Sources = r.list()
+		r.plan.View, r.plan.Problems = r.cache.Compile(r.plan.Sources)
+		r.compiled = true
+	}
+	return r.plan.Problems
+}
+
 func (r *resolution) put(edit *Edit, set uint64) {
+	r.compiled = false
 	r.sources[edit.Name] = state{value: edit.value(), revision: r.sources[edit.Name].revision, set: set}
 }
 
 func (r *resolution) restore(name string, previous state) {
+	r.compiled = false
 	if previous.revision == 0 && previous.set == 0 {
 		delete(r.sources, name)
 		return
@@ -196,8 +221,7 @@
 }
 
 func (r *resolution) finish() {
-	r.plan.Sources = r.list()
-	r.plan.View, r.plan.Problems = compiler.Compile(r.plan.Sources)
+	r.compile()
 	for name, current := range r.sources {
 		if current.set != 0 {
 			r.plan.folds = append(r.plan.folds, connector.Object{
