Add follower and relayer: versions prepared, committed and fetched

Cause: nodes need to put each accepted version in force within 3 s, never in part and never an older one, while only the relays of a data centre watch the platform.

Ruled out: one relay as a standby for the other, because its delay would add to the time of every version while the first is paused; a sync.Once around the first commit round, because it held up the offers to other members until that round had ended (seen as a test that did not end).

Change: follower (prepared and active versions, floor, readiness) and relayer (watch, offer, commit, late commit by members, sections from peers and then the platform, start-up rules (a) and (b), versions heard of through pings). messenger.Validate checks foreign msgpack before other decoders see it. tracker.Observe takes the versions that a relay learns of.

--- /dev/null
+++ b/internal/follower/version.go
@@ -0,0 +1,48 @@
+package follower
+
+import (
+	"sync"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Version is one complete and verified configuration version. It is never changed after it is built.
+type Version struct {
+	View     *compiler.View
+	Prepared timekeeper.Millis // when this node verified it
+	Base     uint64            // version that Delta starts from
+	Delta    []byte            // empty if the version was put together from sections
+	sections func() (sections, error)
+}
+
+type sections struct {
+	manifest []compiler.Entry
+	bodies   map[string][]byte
+}
+
+func newVersion(view *compiler.View, now timekeeper.Millis, base uint64, delta []byte) *Version {
+	return &Version{
+		View: view, Prepared: now, Base: base, Delta: delta,
+		// Encoded on first use: most nodes are never asked for sections.
+		sections: sync.OnceValues(func() (sections, error) {
+			manifest, bodies, err := compiler.Sections(view)
+			return sections{manifest: manifest, bodies: bodies}, err
+		}),
+	}
+}
+
+// Manifest returns the account and digest of each section.
+func (v *Version) Manifest() ([]compiler.Entry, error) {
+	s, err := v.sections()
+	return s.manifest, err
+}
+
+// Body returns the section of a digest, or nil if the version does not have it.
+func (v *Version) Body(digest string) []byte {
+	s, err := v.sections()
+	if err != nil {
+		return nil
+	}
+	return s.bodies[digest]
+}
--- a/internal/messenger/encoding.go
+++ b/internal/messenger/encoding.go
@@ -24,6 +24,16 @@
 	return content, nil
 }
 
+// Validate reports whether content holds exactly one msgpack value within the limits on size and nesting. Content
+// from another node must pass it before any msgpack decoder sees it. It fails with CodePeerInvalid.
+func Validate(content []byte) error {
+	rest, ok := skip(content, maxDepth)
+	if !ok || len(rest) > 0 {
+		return classifier.New(classifier.CodePeerInvalid, "message", "not one msgpack value of %d bytes", len(content))
+	}
+	return nil
+}
+
 // decode fills target from content, which must hold exactly one value within the limits on size and nesting.
 func decode(content []byte, target any) (err error) {
 	defer func() {
@@ -31,9 +41,8 @@
 			err = classifier.New(classifier.CodePeerInvalid, "message", "decoder failed: %v", cause)
 		}
 	}()
-	rest, ok := skip(content, maxDepth)
-	if !ok || len(rest) > 0 {
-		return classifier.New(classifier.CodePeerInvalid, "message", "not one msgpack value of %d bytes", len(content))
+	if err := Validate(content); err != nil {
+		return err
 	}
 	if err := msgpack.Unmarshal(content, target); err != nil {
 		return classifier.Wrap(classifier.CodePeerInvalid, "message", err)
--- /dev/null
+++ b/internal/relayer/mesh_test.go
@@ -0,0 +1,294 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/follower"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// mesh runs relayers over a network in memory, on the clock of testing/synctest.
+type mesh struct {
+	t        testing.TB
+	mutex    sync.Mutex
+	platform *faker.Platform
+	nodes    []*peer
+	random   *rand.Rand
+	damage   func(method string, arguments any) // changes a message on its way
+	calls    map[string]int
+	bytes    int
+	view     compiler.View
+	stop     context.CancelFunc
+	all      context.Context //nolint:containedctx // of the test
+	done     sync.WaitGroup
+}
+
+// peer is one node; member is what every other node sees of it.
+type peer struct {
+	mesh     *mesh
+	member   tracker.Member
+	relayer  *Relayer
+	follower *follower.Follower
+	paused   bool
+	cancel   context.CancelFunc
+	seen     []uint64 // versions in force over all processes, in order
+	off      switches
+}
+
+func newMesh(t testing.TB, zones, perZone int) *mesh {
+	t.Helper()
+	m := &mesh{t: t, platform: faker.NewPlatform(), random: rand.New(rand.NewPCG(1, 1)), calls: make(map[string]int)}
+	m.all, m.stop = context.WithCancel(t.Context())
+	for i := range zones * perZone {
+		name := fmt.Sprintf("node-%03d", i)
+		m.nodes = append(m.nodes, &peer{mesh: m, member: tracker.Member{
+			Name: name, Peer: name, Zone: fmt.Sprintf("zone-%d", i%zones), Known: 1,
+		}})
+	}
+	t.Cleanup(m.close)
+	return m
+}
+
+func (m *mesh) close() {
+	m.stop()
+	m.done.Wait()
+}
+
+func (m *mesh) startAll() {
+	for _, p := range m.nodes {
+		p.start()
+	}
+}
+
+func clock() timekeeper.Clock { return timekeeper.System() }
+
+// start begins a new process of the peer, without any state of the one before.
+func (p *peer) start() {
+	p.follower = follower.New(follower.Options{Clock: clock()})
+	p.relayer = New(Options{
+		Name: p.member.Name, Zone: p.member.Zone, Peer: p.member.Peer, Caller: p, Members: p, Follower: p.follower,
+		Platform: p.mesh.platform, Clock: clock(), Seed: p.mesh.random.Uint64(),
+	})
+	p.relayer.off = p.off
+	p.setHealth(tracker.HealthAlive)
+	ctx, cancel := context.WithCancel(p.mesh.all)
+	p.cancel = cancel
+	r := p.relayer
+	p.mesh.done.Go(func() { _ = r.Run(ctx) })
+}
+
+func (p *peer) kill(health tracker.Health) {
+	p.cancel()
+	p.setHealth(health)
+}
+
+func (p *peer) setHealth(health tracker.Health) {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	p.member.Health = health
+}
+
+func (p *peer) pause(paused bool) {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	p.paused = paused
+}
+
+// Call implements messenger.Caller: messages pass through their encoding, and paused or failed nodes do not answer.
+func (p *peer) Call(ctx context.Context, address, method string, in, out any, timeout timekeeper.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	m := p.mesh
+	m.mutex.Lock()
+	m.calls[method]++
+	var to *peer
+	for _, other := range m.nodes {
+		if other.member.Peer == address && !other.paused && !p.paused && other.member.Health < tracker.HealthFailed {
+			to = other
+		}
+	}
+	damage := m.damage
+	m.mutex.Unlock()
+	if to == nil {
+		<-ctx.Done()
+		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
+	}
+	if err := connector.Sleep(ctx, 2); err != nil {
+		return classifier.Wrap(classifier.CodePeerTimeout, address, err)
+	}
+	if damage != nil {
+		damage(method, in)
+	}
+	done := make(chan error, 1)
+	go func() { done <- to.receive(method, m.count(in), out) }()
+	select {
+	case err := <-done:
+		m.count(out)
+		return err
+	case <-ctx.Done():
+		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
+	}
+}
+
+// count encodes a message and adds its size.
+func (m *mesh) count(message any) []byte {
+	content, err := msgpack.Marshal(message)
+	if err != nil {
+		m.t.Error(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.bytes += len(content)
+	return content
+}
+
+func (p *peer) receive(method string, content []byte, out any) error {
+	receiver := &Receiver{relayer: p.relayer}
+	switch reply := out.(type) {
+	case *Status:
+		if method == "Relayer.Offer" {
+			return invoke(content, reply, receiver.Offer)
+		}
+		return invoke(content, reply, receiver.Commit)
+	case *FloorStatus:
+		return invoke(content, reply, receiver.Floor)
+	case *Fetched:
+		return invoke(content, reply, receiver.Fetch)
+	}
+	return fmt.Errorf("unknown method %s", method)
+}
+
+func invoke[A, R any](content []byte, reply *R, method func(*A, *R) error) error {
+	var arguments A
+	if err := msgpack.Unmarshal(content, &arguments); err != nil {
+		return err
+	}
+	return method(&arguments, reply)
+}
+
+// Zone implements Members.
+func (p *peer) Zone(name string) []tracker.Member {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	var members []tracker.Member
+	for _, other := range p.mesh.nodes {
+		if other.member.Zone == name {
+			members = append(members, other.member)
+		}
+	}
+	return members
+}
+
+// Find implements Members.
+func (p *peer) Find(string) (tracker.Member, bool) { return tracker.Member{}, false }
+
+// Joined implements Members.
+func (p *peer) Joined() bool { return true }
+
+// Observe implements Members.
+func (p *peer) Observe(map[string]uint64) {}
+
+// IsRelay implements Members: the first two live members of the data centre are its relays.
+func (p *peer) IsRelay() bool {
+	relays := 0
+	for _, m := range p.Zone(p.member.Zone) {
+		if m.Health == tracker.HealthAlive {
+			if m.Name == p.member.Name {
+				return relays < 2
+			}
+			relays++
+		}
+	}
+	return false
+}
+
+// publish puts the next version on the platform and returns its number.
+func (m *mesh) publish(accounts int) uint64 {
+	m.t.Helper()
+	return m.publishHead(accounts, func(*publisher.Head) {})
+}
+
+func (m *mesh) publishHead(accounts int, change func(*publisher.Head)) uint64 {
+	m.t.Helper()
+	previous := m.view
+	next := compiler.View{Version: previous.Version + 1, Services: []compiler.Service{}}
+	for i := range accounts {
+		next.Accounts = append(next.Accounts, compiler.Account{
+			Name: fmt.Sprintf("account-%03d", i), Host: fmt.Sprintf("v%d-%d.example", next.Version, i),
+			Ranks: []compiler.Rank{}, Calls: []compiler.Call{}, Services: []string{},
+		})
+	}
+	manifest, bodies, err := compiler.Sections(&next)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	next.Digest = compiler.ManifestDigest(manifest)
+	delta, err := compiler.Delta(&previous, &next)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	ctx := context.Background()
+	for digest, body := range bodies {
+		_, _ = m.platform.Put(ctx, connector.Object{Kind: connector.KindSection, Name: digest, Value: body})
+	}
+	head := publisher.Head{
+		Format: publisher.HeadFormat, Version: next.Version, Digest: next.Digest, Manifest: manifest,
+		Base: previous.Version, Delta: delta,
+	}
+	change(&head)
+	value, err := head.Encode()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	var revision uint64
+	if held, err := m.platform.Get(ctx, connector.KindHead, publisher.HeadName); err == nil {
+		revision = held.Revision
+	}
+	object := connector.Object{Kind: connector.KindHead, Name: publisher.HeadName, Value: value, Revision: revision}
+	if _, err := m.platform.Put(ctx, object); err != nil {
+		m.t.Fatal(err)
+	}
+	m.view = next
+	return next.Version
+}
+
+// platformDown makes every call of the platform fail, or work again.
+func (m *mesh) platformDown(down bool) {
+	m.platform.SetFault(func(faker.Operation) faker.Fault { return faker.Fault{Refuse: down} })
+}
+
+// await advances until the version is in force on all nodes that can have it, and returns the time in ms, or false
+// after the limit.
+func (m *mesh) await(version uint64, limit timekeeper.Millis) (timekeeper.Millis, bool) {
+	for passed := timekeeper.Millis(0); passed < limit; passed += 20 {
+		if m.inForce(version) {
+			return passed, true
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	return limit, m.inForce(version)
+}
+
+func (m *mesh) inForce(version uint64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, p := range m.nodes {
+		if p.member.Health < tracker.HealthFailed && !p.paused && p.follower.ActiveVersion() < version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/relayer/message.go
@@ -0,0 +1,169 @@
+package relayer
+
+import (
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+)
+
+// Format is the number of the message format that this version writes and reads.
+const Format = 1
+
+// Limits on the fields of a message.
+const (
+	maxAddress  = 128
+	maxDigests  = 16 // sections that one Fetch asks for
+	maxManifest = 1 << 14
+	digestBytes = 64 // hexadecimal SHA-256
+	maxDelta    = 64 << 10
+	// maxFetched bounds the sections of one reply. The rest stays empty, and the caller asks again.
+	maxFetched = 1 << 20
+)
+
+// Offer announces a version to a member. Delta is empty if the member is to fetch it from the sender.
+type Offer struct {
+	Format  int    `msgpack:"f"`
+	From    string `msgpack:"p"` // peer address of the sender
+	Version uint64 `msgpack:"v"`
+	Digest  string `msgpack:"d"`
+	Base    uint64 `msgpack:"b"`
+	Delta   []byte `msgpack:"x,omitempty"`
+}
+
+// Commit tells a member to put a version in force.
+type Commit struct {
+	Format  int    `msgpack:"f"`
+	From    string `msgpack:"p"`
+	Version uint64 `msgpack:"v"`
+	Digest  string `msgpack:"d"`
+}
+
+// Status is the reply to Offer and Commit.
+type Status struct {
+	Format int    `msgpack:"f"`
+	Known  uint64 `msgpack:"k"`
+	Active uint64 `msgpack:"a"`
+}
+
+// Floor asks a member for its versions and the members that it lists.
+type Floor struct {
+	Format int  `msgpack:"f"`
+	Listed bool `msgpack:"l,omitempty"` // whether the reply is to name the members
+}
+
+// FloorStatus is the reply to Floor. Listed holds the hashes of the names of the members of the data centre that are
+// live or failed within the last 10 minutes.
+type FloorStatus struct {
+	Format int      `msgpack:"f"`
+	Known  uint64   `msgpack:"k"`
+	Active uint64   `msgpack:"a"`
+	Ready  bool     `msgpack:"r"`
+	Listed []uint64 `msgpack:"l,omitempty"`
+}
+
+// Fetch asks for the manifest and the delta of a version, or for sections by digest if Digests is not empty.
+// Version 0 stands for the version in force.
+type Fetch struct {
+	Format  int      `msgpack:"f"`
+	Version uint64   `msgpack:"v"`
+	Base    uint64   `msgpack:"b,omitempty"` // version that the caller holds; a delta from it replaces the manifest
+	Digests []string `msgpack:"d,omitempty"`
+}
+
+// Fetched is the reply to Fetch. Bodies are in the order of Digests; a missing one is empty.
+type Fetched struct {
+	Format   int              `msgpack:"f"`
+	Version  uint64           `msgpack:"v"`
+	Digest   string           `msgpack:"d"`
+	Active   uint64           `msgpack:"a"`
+	Manifest []compiler.Entry `msgpack:"m,omitempty"`
+	Base     uint64           `msgpack:"b,omitempty"`
+	Delta    []byte           `msgpack:"x,omitempty"`
+	Bodies   [][]byte         `msgpack:"s,omitempty"`
+}
+
+func checkFormat(format int, message string) error {
+	if format != Format {
+		return classifier.New(classifier.CodePeerFormat, message, "format %d is not known", format)
+	}
+	return nil
+}
+
+func invalid(message, field string, value any) error {
+	failure := classifier.New(classifier.CodePeerInvalid, message, "value %v is out of range", value)
+	failure.Field = field
+	return failure
+}
+
+func checkDigest(message, digest string) error {
+	if len(digest) != digestBytes {
+		return invalid(message, "digest", len(digest))
+	}
+	return nil
+}
+
+func (o *Offer) check() error {
+	switch {
+	case o.Format != Format:
+		return checkFormat(o.Format, "offer")
+	case o.Version == 0 || o.Base >= o.Version:
+		return invalid("offer", "version", o.Version)
+	case o.From == "" || len(o.From) > maxAddress:
+		return invalid("offer", "from", len(o.From))
+	case len(o.Delta) > maxDelta:
+		return invalid("offer", "delta", len(o.Delta))
+	}
+	return checkDigest("offer", o.Digest)
+}
+
+func (c *Commit) check() error {
+	switch {
+	case c.Format != Format:
+		return checkFormat(c.Format, "commit")
+	case c.Version == 0:
+		return invalid("commit", "version", c.Version)
+	case c.From == "" || len(c.From) > maxAddress:
+		return invalid("commit", "from", len(c.From))
+	}
+	return checkDigest("commit", c.Digest)
+}
+
+func (f *Fetch) check() error {
+	if f.Format != Format {
+		return checkFormat(f.Format, "fetch")
+	}
+	if len(f.Digests) > maxDigests {
+		return invalid("fetch", "digests", len(f.Digests))
+	}
+	for _, digest := range f.Digests {
+		if err := checkDigest("fetch", digest); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fetched) check(asked *Fetch) error {
+	switch {
+	case f.Format != Format:
+		return checkFormat(f.Format, "fetched")
+	case len(f.Manifest) > maxManifest:
+		return invalid("fetched", "manifest", len(f.Manifest))
+	case len(f.Delta) > maxDelta:
+		return invalid("fetched", "delta", len(f.Delta))
+	case len(f.Bodies) != len(asked.Digests):
+		return invalid("fetched", "bodies", len(f.Bodies))
+	case len(asked.Digests) == 0 && asked.Version != 0 && f.Version != asked.Version:
+		return invalid("fetched", "version", f.Version)
+	}
+	return nil
+}
+
+func (f *FloorStatus) check() error {
+	if f.Format != Format {
+		return checkFormat(f.Format, "floor")
+	}
+	if len(f.Listed) > maxManifest {
+		return invalid("floor", "listed", len(f.Listed))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relayer/watch.go
@@ -0,0 +1,90 @@
+package relayer
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+)
+
+// watch follows the head while this node is a relay.
+func (r *Relayer) watch(ctx context.Context) {
+	backoff := r.backoff(watchBackoff)
+	var revision uint64
+	for ctx.Err() == nil {
+		if !r.options.Members.IsRelay() {
+			_ = connector.Sleep(ctx, pollSpan)
+			continue
+		}
+		seen, err := r.watchOnce(ctx, revision)
+		if err != nil {
+			r.options.Logger.Debug("relayer: watch failed", zap.Error(err))
+			_ = backoff.Wait(ctx)
+			continue
+		}
+		backoff.Reset()
+		revision = max(revision, seen)
+	}
+}
+
+// watchOnce waits for a change of the head after a revision and takes it in. It returns the revision seen. The
+// deadline is a little longer than the wait, so that a connection that went silent is given up.
+func (r *Relayer) watchOnce(ctx context.Context, after uint64) (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, (watchWait + watchMargin).Duration())
+	defer cancel()
+	snapshot, err := r.options.Platform.Watch(bounded, connector.KindHead, after, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	for _, object := range snapshot.Objects {
+		if object.Name != publisher.HeadName || object.Deleted {
+			continue
+		}
+		head, err := publisher.DecodeHead(object.Value)
+		if err != nil {
+			r.options.Logger.Warn("relayer: head refused", zap.Error(err))
+			return max(after, object.Revision), nil
+		}
+		if err := r.learn(ctx, &head, false); err != nil {
+			return 0, err // read again, since a section could not be had
+		}
+		after = max(after, object.Revision)
+	}
+	return after, nil
+}
+
+// learn prepares the version of a head and, on a relay, starts to bring it to the members. With ask, the members are
+// asked first, because they are likely to have it.
+func (r *Relayer) learn(ctx context.Context, head *publisher.Head, ask bool) error {
+	wanted := target{
+		version: head.Version, digest: head.Digest, manifest: head.Manifest, base: head.Base, delta: head.Delta,
+	}
+	if err := r.obtain(ctx, wanted, ""); err != nil {
+		return err
+	}
+	if r.options.Members.IsRelay() {
+		r.spawnSpread(head.Version, ask)
+	}
+	return nil
+}
+
+// readHead reads the head from the platform. It returns nil without an error if no version was ever published.
+func (r *Relayer) readHead(ctx context.Context) (*publisher.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, headTimeout.Duration())
+	defer cancel()
+	snapshot, err := r.options.Platform.List(ctx, connector.KindHead)
+	if err != nil {
+		return nil, err
+	}
+	i := slices.IndexFunc(snapshot.Objects, func(o connector.Object) bool {
+		return o.Name == publisher.HeadName && !o.Deleted
+	})
+	if i < 0 {
+		return nil, nil //nolint:nilnil // no head is a state of the platform, not a failure
+	}
+	head, err := publisher.DecodeHead(snapshot.Objects[i].Value)
+	return &head, err
+}
--- a/internal/tracker/event.go
+++ b/internal/tracker/event.go
@@ -33,6 +33,8 @@
 	exchangeFailed struct{ zone string }
 	// selfChanged changes the node's own entry.
 	selfChanged struct{ change func(*Member) }
+	// observed raises Known of members, by name.
+	observed struct{ known map[string]uint64 }
 	// joinAsked adds addresses through which to join.
 	joinAsked struct{ addresses []string }
 	// leaveAsked ends the membership.
@@ -48,6 +50,7 @@
 func (exchangeAnswered) event() {}
 func (exchangeFailed) event()   {}
 func (selfChanged) event()      {}
+func (observed) event()         {}
 func (joinAsked) event()        {}
 func (leaveAsked) event()       {}
 
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -88,6 +88,8 @@
 		delete(m.exchanging, e.zone)
 	case selfChanged:
 		m.changeSelf(now, e.change)
+	case observed:
+		m.observe(e.known)
 	case joinAsked:
 		m.seeds = append(m.seeds, e.addresses...)
 	case leaveAsked:
--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -13,7 +13,7 @@
 func TestMembershipConvergesAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, 4, switches{})
-		if _, ok := w.settle(20 * timekeeper.Second); !ok {
+		if !w.settle(20 * timekeeper.Second) {
 			t.Fatalf("start: %s", w.disagreement())
 		}
 		w.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
@@ -47,7 +47,7 @@
 		}
 		w.loss, w.duplicate, w.delay = 0, 0, 10
 		w.advance(20 * timekeeper.Second) // ends every pause
-		if _, ok := w.settle(2 * timekeeper.Minute); !ok {
+		if !w.settle(2 * timekeeper.Minute) {
 			t.Fatalf("end: %s", w.disagreement())
 		}
 	})
--- a/internal/tracker/merge.go
+++ b/internal/tracker/merge.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// observe raises Known of members that told this node their version in another way than by a ping.
+func (m *machine) observe(known map[string]uint64) {
+	for name, version := range known {
+		if r := m.table.find(name); r != nil && name != m.self.Name && version > r.member.Known {
+			r.member.Known = version
+			m.table.shards[r.member.Zone].dirty = true
+		}
+	}
+}
+
 // refute raises the own entry above what another node holds of it, unless that is the own entry or an older one.
 func (m *machine) refute(now timekeeper.Millis, s Stamp) {
 	if s.Hash != hashName(m.self.Name) || !s.newer(stampOf(&m.self)) || m.off.refutation {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -68,6 +68,11 @@
 	t.step(selfChanged{change: change})
 }
 
+// Observe raises Known of members that told this node their version in another way than by a ping.
+func (t *Tracker) Observe(known map[string]uint64) {
+	t.step(observed{known: known})
+}
+
 // Self returns the node's own entry.
 func (t *Tracker) Self() Member {
 	t.mutex.Lock()
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
@@ -27,12 +26,11 @@
 }
 
 type node struct {
-	m            *machine
-	name, zone   string
-	killed       bool
-	pausedUntil  timekeeper.Millis
-	epoch        int // processes so far; what belongs to an earlier one is dropped
-	falseSuspect bool
+	m           *machine
+	name, zone  string
+	killed      bool
+	pausedUntil timekeeper.Millis
+	epoch       int // processes so far; what belongs to an earlier one is dropped
 }
 
 type delivery struct {
@@ -209,18 +207,13 @@
 	return ""
 }
 
-// settle advances until all live nodes agree and returns the time it took, or false after the limit.
-func (w *world) settle(limit timekeeper.Millis) (timekeeper.Millis, bool) {
-	start := w.now
-	for w.now-start < limit {
+// settle advances until all live nodes agree, or the limit passes.
+func (w *world) settle(limit timekeeper.Millis) bool {
+	for start := w.now; w.now-start < limit; {
 		w.advance(200)
 		if w.disagreement() == "" {
-			return w.now - start, true
+			return true
 		}
 	}
-	return limit, false
-}
-
-func (w *world) live() []*node {
-	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n.killed })
+	return false
 }
