--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -6,7 +6,8 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// Times of the failure detection. With them a dead member is suspected within about 2 s and failed 3 s later.
+// Times of the failure detection. A dead member waits up to about 2 s for a ping, is suspected 1.6 s after that one
+// (both timeouts) and fails 3 s later.
 const (
 	tickSpan        = 100 * timekeeper.Millis(1)
 	probeSpan       = timekeeper.Second     // between two pings of members, and of other data centres
--- a/internal/tracker/machine_test.go
+++ b/internal/tracker/machine_test.go
@@ -12,7 +12,7 @@
 // and reordered messages. An older entry must never replace a newer one on the way.
 func TestMembershipConvergesAfterFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, 4, switches{})
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 3, 4)
 		if !w.settle(20 * timekeeper.Second) {
 			t.Fatalf("start: %s", w.disagreement())
 		}
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -20,8 +22,7 @@
 	loss, duplicate float64
 	delay           timekeeper.Millis // longest; a random part of it reorders messages
 	cut             func(a, b *node) bool
-	off             switches
-	messages        map[string]int
+	sizes           map[*node]int // bytes sent and received; nil counts none
 	seen            func(n *node)
 }
 
@@ -55,10 +56,9 @@
 	return last
 }
 
-func newWorld(seed uint64, zones, perZone int, off switches) *world {
+func newWorld(seed uint64, zones, perZone int) *world {
 	w := &world{
-		now: 1_000_000_000, random: rand.New(rand.NewPCG(seed, 1)), byAddress: make(map[string]*node), delay: 10, off: off,
-		messages: make(map[string]int),
+		now: 1_000_000_000, random: rand.New(rand.NewPCG(seed, 1)), byAddress: make(map[string]*node), delay: 10,
 	}
 	for i := range zones * perZone {
 		n := &node{name: fmt.Sprintf("node-%d", i), zone: fmt.Sprintf("zone-%d", i%zones)}
@@ -73,7 +73,6 @@
 func (w *world) start(n *node) {
 	n.killed, n.pausedUntil, n.epoch = false, 0, n.epoch+1
 	n.m = newMachine(w.now, Member{Name: n.name, Zone: n.zone, Peer: n.name, Service: "service"}, w.random.Uint64())
-	n.m.off = w.off
 	w.step(n, joinAsked{addresses: []string{"node-0", "node-1", "node-2"}})
 	w.tickLater(n)
 }
@@ -116,20 +115,18 @@
 		case answer:
 			reply = a
 		case sendPing:
-			w.count++
-			w.messages["ping"]++
 			w.at(n, a.timeout, func(n *node) { w.step(n, pingFailed{probe: a.probe}) })
 			w.request(n, a.address, func(to *node) {
+				w.size(n, to, a.ping)
 				if r := w.step(to, pingReceived{ping: a.ping}); r.failure == nil {
+					w.size(n, to, r.pong)
 					w.send(to, n, func(n *node) { w.step(n, pingAnswered{probe: a.probe, pong: r.pong}) })
 				}
 			})
 		case sendIndirect:
-			w.messages["indirect"]++
 			w.at(n, a.timeout, func(n *node) { w.step(n, pingFailed{probe: a.probe}) })
 			w.request(n, a.address, func(via *node) { w.forward(n, via, a) })
 		case sendExchange:
-			w.messages["exchange"]++
 			w.exchange(n, a)
 		case heard:
 		}
@@ -159,7 +156,9 @@
 		w.at(n, a.timeout, func(n *node) { w.step(n, exchangeFailed{zone: zone}) })
 	}
 	w.request(n, a.address, func(to *node) {
+		w.size(n, to, a.exchange)
 		r := w.step(to, exchangeReceived{exchange: a.exchange})
+		w.size(n, to, r.exchanged)
 		if zone != "" && r.failure == nil {
 			w.send(to, n, func(n *node) {
 				w.step(n, exchangeAnswered{zone: zone, address: a.address, reply: r.exchanged})
@@ -184,6 +183,18 @@
 	}
 }
 
+// overhead is what one message costs beside its own encoding: frame, method name and TCP and IP headers.
+const overhead = 100
+
+func (w *world) size(from, to *node, message any) {
+	if w.sizes == nil {
+		return
+	}
+	content, _ := msgpack.Marshal(message)
+	w.sizes[from] += len(content) + overhead
+	w.sizes[to] += len(content) + overhead
+}
+
 // disagreement describes the first entry on a live node that does not match the truth, or returns "".
 func (w *world) disagreement() string {
 	for _, n := range w.nodes {
