--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -41,7 +41,8 @@
 	batchLimit     = 64                     // deaths in one message
 	parallel       = 16                     // messages on the way at once
 	remoteTargets  = 2                      // members of each other data centre that a death is sent to
-	repeatSpan     = 10 * timekeeper.Second // deaths up to this age are repeated to a random member every second
+	repeatSpan     = 20 * timekeeper.Second // deaths up to this age are repeated every second
+	repeatTargets  = 3                      // members that each repeat goes to
 )
 
 // Isolator refuses requests that crashed upstreams on this or another node.
@@ -111,7 +112,7 @@
 	}
 	i.publish()
 	i.mutex.Unlock()
-	for forward && len(fresh) > 0 {
+	for forward && !i.table.rules.silent && len(fresh) > 0 {
 		count := min(batchLimit, len(fresh))
 		select {
 		case i.queue <- parcel{deaths: fresh[:count], remote: remote}:
@@ -157,7 +158,7 @@
 	}
 }
 
-// repeat drops old marks and sends recent deaths to one random member, which repairs lost messages.
+// repeat drops old marks and sends recent deaths to random members, which repairs lost messages.
 func (i *Isolator) repeat(ctx context.Context) {
 	i.mutex.Lock()
 	now := i.options.Clock.Now()
@@ -166,11 +167,11 @@
 	deaths := i.table.recent(now, repeatSpan, batchLimit)
 	i.mutex.Unlock()
 	targets := i.targets(true)
-	if len(deaths) == 0 || len(targets) == 0 {
+	if len(deaths) == 0 || len(targets) == 0 || i.table.rules.silent || i.table.rules.once {
 		return
 	}
-	at := rand.IntN(len(targets))
-	i.send(ctx, targets[at:at+1], deaths)
+	rand.Shuffle(len(targets), func(a, b int) { targets[a], targets[b] = targets[b], targets[a] })
+	i.send(ctx, targets[:min(repeatTargets, len(targets))], deaths)
 }
 
 // targets returns the addresses of all live members of this data centre, and of some of every other one.
--- a/internal/isolator/table.go
+++ b/internal/isolator/table.go
@@ -35,6 +35,12 @@
 	key   Key
 }
 
+// seen is a report with the time of the death by this node's clock.
+type seen struct {
+	report
+	at timekeeper.Millis
+}
+
 // subject is what a mark is for: a Key with only the parts of its scope.
 type subject struct {
 	scope Scope
@@ -43,29 +49,37 @@
 
 // table counts deaths and derives marks. It is a state machine without I/O.
 type table struct {
-	order     []report // oldest first
-	times     map[report]timekeeper.Millis
-	marks     map[subject]Mark
-	unbounded bool // only tests set it
+	order []seen // in the order of arrival
+	known map[report]struct{}
+	marks map[subject]Mark
+	rules rules
+}
+
+// rules are the parts of the mechanism that tests turn off to show that they are needed.
+type rules struct {
+	unbounded bool // the table grows without limit
+	silent    bool // deaths are not sent to other nodes
+	once      bool // lost messages are not repaired
+	crude     bool // every kind of call that ran during the deaths is refused
 }
 
 // newTable returns an empty table.
 func newTable() *table {
-	return &table{times: make(map[report]timekeeper.Millis), marks: make(map[subject]Mark)}
+	return &table{known: make(map[report]struct{}), marks: make(map[subject]Mark)}
 }
 
 // add counts a death that happened age ms before now, and reports whether it was new.
 func (t *table) add(now timekeeper.Millis, d Death) bool {
 	r := report{event{d.Host, d.Incarnation, d.Number}, d.Key}
 	at := now - max(d.Age, 0)
-	if _, known := t.times[r]; known || now-at > idWindow {
+	if _, known := t.known[r]; known || now-at > idWindow {
 		return false
 	}
 	t.expire(now)
-	t.times[r] = at
-	t.order = append(t.order, r)
-	if len(t.order) > tableLimit && !t.unbounded {
-		delete(t.times, t.order[0])
+	t.known[r] = struct{}{}
+	t.order = append(t.order, seen{r, at})
+	if len(t.order) > tableLimit && !t.rules.unbounded {
+		delete(t.known, t.order[0].report)
 		t.order = slices.Delete(t.order, 0, 1)
 	}
 	t.mark(at, d.Key)
@@ -74,12 +88,12 @@
 
 // expire drops deaths and marks that are too old.
 func (t *table) expire(now timekeeper.Millis) {
-	t.order = slices.DeleteFunc(t.order, func(r report) bool {
-		old := now-t.times[r] > idWindow
-		if old {
-			delete(t.times, r)
+	t.order = slices.DeleteFunc(t.order, func(r seen) bool {
+		if now-r.at <= idWindow {
+			return false
 		}
-		return old
+		delete(t.known, r.report)
+		return true
 	})
 	maps.DeleteFunc(t.marks, func(_ subject, m Mark) bool { return m.Until <= now })
 }
@@ -105,13 +119,24 @@
 	}
 	at := subject{scope, key}
 	t.marks[at] = Mark{Scope: scope, Key: key, Deaths: deaths, Until: max(until, t.marks[at].Until)}
+	if len(t.marks) <= tableLimit || t.rules.unbounded {
+		return
+	}
+	oldest := at
+	for s, m := range t.marks {
+		if m.Until < t.marks[oldest].Until {
+			oldest = s
+		}
+	}
+	delete(t.marks, oldest)
 }
 
 // events returns the deaths within the window before at during which a request that matches ran.
 func (t *table) events(at, window timekeeper.Millis, match func(Key) bool) map[event]bool {
 	found := make(map[event]bool)
-	for _, r := range t.order {
-		if age := at - t.times[r]; age <= window && age >= -window && match(r.key) {
+	for i := range t.order {
+		r := &t.order[i]
+		if age := at - r.at; age <= window && age >= -window && match(r.key) {
 			found[r.event] = true
 		}
 	}
@@ -123,10 +148,13 @@
 func (t *table) callSuspect(at timekeeper.Millis, key Key) bool {
 	same := func(k Key) bool { return k.Account == key.Account && k.Call == key.Call }
 	deaths := t.events(at, shortWindow, same)
+	if len(deaths) < callDeaths {
+		return false
+	}
 	hosts, fingerprints := make(map[string]bool), make(map[uint64]bool)
 	others := make(map[Key]map[event]bool)
 	for _, r := range t.order {
-		if age := at - t.times[r]; age > shortWindow || age < -shortWindow {
+		if age := at - r.at; age > shortWindow || age < -shortWindow {
 			continue
 		}
 		if same(r.key) {
@@ -140,11 +168,11 @@
 		}
 		others[kind][r.event] = true
 	}
-	if len(deaths) < callDeaths || len(hosts) < callHosts || len(fingerprints) < callFingerprints {
+	if len(hosts) < callHosts || len(fingerprints) < callFingerprints {
 		return false
 	}
 	for _, other := range others {
-		if len(other) > len(deaths) && covers(other, deaths) {
+		if !t.rules.crude && len(other) > len(deaths) && covers(other, deaths) {
 			return false
 		}
 	}
@@ -180,7 +208,7 @@
 		if len(deaths) == limit {
 			break
 		}
-		if age := now - t.times[r]; age <= span {
+		if age := now - r.at; age <= span {
 			deaths = append(deaths, Death{
 				Key: r.key, Host: r.event.host, Incarnation: r.event.incarnation, Number: r.event.number, Age: max(age, 0),
 			})
--- a/internal/retrier/attempt.go
+++ b/internal/retrier/attempt.go
@@ -54,14 +54,26 @@
 
 // Judge decides on an attempt without regard to the budget. It is a pure function.
 func Judge(now timekeeper.Millis, a Attempt) Decision {
+	return judge(now, a, rules{})
+}
+
+// rules are the parts of the decision that tests turn off to show that they are needed.
+type rules struct {
+	unlimited bool // no budget
+	nested    bool // retries of retries
+	blind     bool // requests that may have run are sent again
+}
+
+// judge is Judge with some rules turned off.
+func judge(now timekeeper.Millis, a Attempt, off rules) Decision {
 	switch {
 	case a.Outcome == classifier.OutcomeAnswered:
 		return deny(ReasonAnswered)
-	case a.Retried:
+	case a.Retried && !off.nested:
 		return deny(ReasonNested)
 	case a.Number >= maxAttempts:
 		return deny(ReasonAttempts)
-	case a.Outcome != classifier.OutcomeNotRun && !a.Idempotent:
+	case a.Outcome != classifier.OutcomeNotRun && !a.Idempotent && !off.blind:
 		return deny(ReasonMayHaveRun)
 	case a.Deaths > 1:
 		return deny(ReasonDeath)
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -13,9 +13,9 @@
 
 // Retrier keeps a retry budget for each service. Calls of different services share no lock.
 type Retrier struct {
-	clock     timekeeper.Clock
-	budgets   sync.Map // service name to *budget
-	unlimited bool     // only tests set it
+	clock   timekeeper.Clock
+	budgets sync.Map // service name to *budget
+	rules   rules
 }
 
 // New returns a retrier with empty budgets.
@@ -31,8 +31,8 @@
 // Decide tells whether a failed attempt is sent again, and takes the retry from the service's budget.
 func (r *Retrier) Decide(a Attempt) Decision {
 	now := r.clock.Now()
-	decision := Judge(now, a)
-	if !decision.Retry || r.unlimited {
+	decision := judge(now, a, r.rules)
+	if !decision.Retry || r.rules.unlimited {
 		return decision
 	}
 	if !r.budget(a.Service).spend(now) {
--- /dev/null
+++ b/internal/retrier/retrier_test.go
@@ -0,0 +1,137 @@
+package retrier
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Guards against a retry that a rule forbids, and against refusing one that is allowed.
+func TestJudge(t *testing.T) {
+	base := Attempt{Number: 1, Outcome: classifier.OutcomeNotRun, Code: classifier.CodeOverload, Deadline: 1000}
+	for name, c := range map[string]struct {
+		change func(*Attempt)
+		want   Decision
+	}{
+		"not run":            {func(*Attempt) {}, Decision{Retry: true, Reason: ReasonRetry}},
+		"with a hint":        {func(a *Attempt) { a.After = 90 }, Decision{Retry: true, After: 90, Reason: ReasonRetry}},
+		"hint past deadline": {func(a *Attempt) { a.After = 1000 }, deny(ReasonDeadline)},
+		"third attempt":      {func(a *Attempt) { a.Number = 3 }, deny(ReasonAttempts)},
+		"nested":             {func(a *Attempt) { a.Retried = true }, deny(ReasonNested)},
+		"answered":           {func(a *Attempt) { a.Outcome = classifier.OutcomeAnswered }, deny(ReasonAnswered)},
+		"may have run":       {func(a *Attempt) { a.Outcome = classifier.OutcomeUnknown }, deny(ReasonMayHaveRun)},
+		"no outcome":         {func(a *Attempt) { a.Outcome = "" }, deny(ReasonMayHaveRun)},
+		"isolated":           {func(a *Attempt) { a.Code = classifier.CodeIsolated }, deny(ReasonPermanent)},
+		"one death": {func(a *Attempt) {
+			a.Outcome, a.Idempotent, a.Deaths = classifier.OutcomeUnknown, true, 1
+		}, Decision{Retry: true, Reason: ReasonRetry}},
+		"two deaths": {func(a *Attempt) {
+			a.Outcome, a.Idempotent, a.Deaths = classifier.OutcomeUnknown, true, 2
+		}, deny(ReasonDeath)},
+	} {
+		attempt := base
+		c.change(&attempt)
+		if diff := cmp.Diff(c.want, Judge(0, attempt)); diff != "" {
+			t.Errorf("%s differs (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// storm draws calls whose attempts fail, and returns the first broken property.
+func storm(rt *rapid.T, off rules) string {
+	manual := timekeeper.Manual(0)
+	r := New(Options{Clock: manual.Clock()})
+	r.rules = off
+	calls, retries := make(map[string]int), make(map[string]int)
+	for range rapid.IntRange(1, 300).Draw(rt, "calls") {
+		manual.Advance(timekeeper.Millis(rapid.SampledFrom([]int{0, 0, 1, 50, 12000, 25000}).Draw(rt, "pass")))
+		a := Attempt{
+			Service: rapid.SampledFrom([]string{"s", "t"}).Draw(rt, "service"), Number: 1,
+			Idempotent: rapid.Bool().Draw(rt, "idempotent"), Retried: rapid.Bool().Draw(rt, "retried"),
+			Deadline: manual.Clock().Now() + 1000,
+		}
+		r.First(a.Service)
+		calls[a.Service]++
+		for ; a.Number < 10; a.Number++ {
+			a.Outcome = rapid.SampledFrom([]classifier.Outcome{classifier.OutcomeNotRun, classifier.OutcomeUnknown, ""}).
+				Draw(rt, "outcome")
+			if !r.Decide(a).Retry {
+				break
+			}
+			retries[a.Service]++
+			switch {
+			case a.Retried:
+				return "a retry was retried"
+			case !a.Idempotent && a.Outcome != classifier.OutcomeNotRun:
+				return "a non-idempotent request that may have started was sent again"
+			case 10*retries[a.Service] > calls[a.Service]:
+				return "retries exceed a tenth of the calls"
+			case a.Number > 2:
+				return "more than two extra attempts"
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against retries beyond a tenth of the calls, of requests that are retries, and of requests that may have run.
+// Each property breaks when its rule is off.
+func TestStorm(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if broken := storm(rt, rules{}); broken != "" {
+			rt.Fatal(broken)
+		}
+	})
+	for _, off := range []rules{{unlimited: true}, {nested: true}, {blind: true}} {
+		generator := rapid.Custom(func(rt *rapid.T) string { return storm(rt, off) })
+		found := ""
+		for seed := 0; seed < 500 && found == ""; seed++ {
+			found = generator.Example(seed)
+		}
+		t.Logf("with %+v: %s", off, found)
+		if found == "" {
+			t.Errorf("with %+v nothing breaks", off)
+		}
+	}
+}
+
+// Guards against a quiet hour that pays for a storm of retries later.
+func TestOldCallsDoNotPay(t *testing.T) {
+	manual := timekeeper.Manual(0)
+	r := New(Options{Clock: manual.Clock()})
+	for range 1000 {
+		r.First("s")
+	}
+	manual.Advance(timekeeper.Minute)
+	a := Attempt{Service: "s", Number: 1, Outcome: classifier.OutcomeNotRun, Deadline: timekeeper.Millis(1) << 40}
+	if got := r.Decide(a); got.Retry {
+		t.Fatalf("decision after a minute is %+v", got)
+	}
+}
+
+// BenchmarkDecide measures a first attempt and a decision, on one service and on one service per processor.
+func BenchmarkDecide(b *testing.B) {
+	for _, services := range []int{1, 64} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			r := New(Options{Clock: timekeeper.System()})
+			names := make(chan string, services)
+			for i := range services {
+				names <- fmt.Sprint("service-", i)
+			}
+			b.RunParallel(func(pb *testing.PB) {
+				name := <-names
+				names <- name
+				a := Attempt{Service: name, Number: 1, Outcome: classifier.OutcomeNotRun, Deadline: 1 << 60}
+				for pb.Next() {
+					r.First(name)
+					r.Decide(a)
+				}
+			})
+		})
+	}
+}
