deduplicator: refuse attempts for another process of the host, keep settled attempts settled

Cause: the simulation with entry nodes that settle lost attempts found three second runs. A restarted host answered "not run" for an attempt that ran on its predecessor. An attempt that was settled with one process arrived late at the next one and ran. A release by another attempt erased the mark of a settled one. Ruled out: numbering attempts across hosts; the entry node that settles an attempt does not know the others. Change: Settle and Claim compare the incarnation that the attempt was sent to; settled attempts have their own field; shards are chosen by a seeded hash; placements are read without a lock.

--- a/internal/deduplicator/agreed.go
+++ b/internal/deduplicator/agreed.go
@@ -10,63 +10,65 @@
 // owners, so that claims of it are refused as uncertain when the platform is out of reach for the lead of the plan.
 type Agreed struct {
 	service func(account, call string) string
-	mutex   sync.RWMutex
-	zones   map[string]Schedule
-	owners  map[string]Schedule
+	zones   sync.Map // service to Schedule
+	owners  sync.Map // data centre to Schedule
+	mutex   sync.Mutex
 }
 
 // NewAgreed returns a placement without schedules. Service names the service that runs a call.
 func NewAgreed(service func(account, call string) string) *Agreed {
-	return &Agreed{service: service, zones: make(map[string]Schedule), owners: make(map[string]Schedule)}
+	return &Agreed{service: service}
 }
 
 // SetZones takes over the platform's schedule of the data centres of a service, unless it covers less than the
 // present one.
 func (g *Agreed) SetZones(service string, s Schedule) {
-	g.set(g.zones, service, s)
+	g.set(&g.zones, service, s)
 }
 
 // SetOwners takes over the platform's schedule of the members of a data centre, unless it covers less than the
 // present one.
 func (g *Agreed) SetOwners(zone string, s Schedule) {
-	g.set(g.owners, zone, s)
+	g.set(&g.owners, zone, s)
 }
 
 // set replaces a schedule by a later revision.
-func (g *Agreed) set(schedules map[string]Schedule, name string, s Schedule) {
+func (g *Agreed) set(schedules *sync.Map, name string, s Schedule) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if s.Until > schedules[name].Until {
-		schedules[name] = s
+	if s.Until > get(schedules, name).Until {
+		schedules.Store(name, s)
 	}
 }
 
+// get returns a schedule, or an empty one.
+func get(schedules *sync.Map, name string) Schedule {
+	found, _ := schedules.Load(name)
+	s, _ := found.(Schedule)
+	return s
+}
+
 // Zones implements Placement.
 func (g *Agreed) Zones(account, call string) Schedule {
-	service := g.service(account, call)
-	g.mutex.RLock()
-	defer g.mutex.RUnlock()
-	return g.zones[service]
+	return get(&g.zones, g.service(account, call))
 }
 
 // Homes implements Placement.
 func (g *Agreed) Homes() []Schedule {
-	g.mutex.RLock()
-	defer g.mutex.RUnlock()
 	var schedules []Schedule
-	for _, s := range g.zones {
+	g.zones.Range(func(_, found any) bool {
+		s, _ := found.(Schedule)
 		if !slices.ContainsFunc(schedules, func(o Schedule) bool { return sameEpochs(s, o) }) {
 			schedules = append(schedules, s)
 		}
-	}
+		return true
+	})
 	return schedules
 }
 
 // Owners implements Placement.
 func (g *Agreed) Owners(zone string) Schedule {
-	g.mutex.RLock()
-	defer g.mutex.RUnlock()
-	return g.owners[zone]
+	return get(&g.owners, zone)
 }
 
 // sameEpochs reports whether two schedules list the same names at all times.
--- a/internal/deduplicator/host.go
+++ b/internal/deduplicator/host.go
@@ -15,6 +15,7 @@
 	name        string
 	incarnation uint64
 	sequence    atomic.Uint64
+	amnesiac    bool // settles attempts that were sent to an earlier process; only tests set it
 }
 
 // NewHost returns an empty table for a host process, bounded by limit bytes.
@@ -33,7 +34,7 @@
 		if e = s.add(d); e == nil {
 			return Record{ID: d}, false
 		}
-	case e.state != StateReleased, clampAttempt(r.Attempt) <= e.attempt:
+	case e.state != StateReleased, clampAttempt(r.Attempt) <= e.settled:
 		return s.record(e), false
 	}
 	claim := Record{
@@ -52,7 +53,7 @@
 	if e == nil || e.state != StateClaimed || e.sequence != sequence {
 		return false
 	}
-	e.state, e.attempt = StateReleased, 0
+	e.state = StateReleased
 	return true
 }
 
@@ -82,10 +83,14 @@
 	return Record{ID: d}
 }
 
-// Settle returns the record of an id for an attempt whose sender lost contact. If the host has not seen the id, or its
-// attempts were all released, attempts up to this number are refused from now on, and the state is StateReleased: the
-// attempt did not run and never will. StateNone means that this could not be recorded.
-func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int) Record {
+// Settle returns the record of an id for an attempt that was sent to a process with the given incarnation and whose
+// sender lost contact. If the host has not seen the id, or its attempts were all released, attempts up to this number
+// are refused from now on, and the state is StateReleased: the attempt did not run and never will. StateNone means
+// that this host cannot tell, because the attempt may have run on an earlier process or because there is no room.
+func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int, incarnation uint64) Record {
+	if incarnation != h.incarnation && !h.amnesiac {
+		return Record{ID: d}
+	}
 	s := h.table.lock(now, d)
 	defer s.mutex.Unlock()
 	e := s.find(d)
@@ -99,7 +104,7 @@
 		e.state = StateReleased
 	}
 	if e.state == StateReleased {
-		e.attempt = max(e.attempt, clampAttempt(attempt))
+		e.settled = max(e.settled, clampAttempt(attempt))
 	}
 	return s.record(e)
 }
--- a/internal/deduplicator/mesh_test.go
+++ b/internal/deduplicator/mesh_test.go
@@ -73,7 +73,8 @@
 // claim presents an id at a host. It needs a synctest bubble.
 func (m *mesh) claim(t testing.TB, host, id string) Decision {
 	t.Helper()
-	decision, err := m.nodes[host].Claim(t.Context(), Request{ID: id, Attempt: 1, Host: host, Account: "a", Call: "c"})
+	r := Request{ID: id, Attempt: 1, Host: host, Incarnation: m.nodes[host].options.Incarnation, Account: "a", Call: "c"}
+	decision, err := m.nodes[host].Claim(t.Context(), r)
 	if err != nil {
 		t.Fatalf("claim: %v", err)
 	}
--- a/internal/deduplicator/placement.go
+++ b/internal/deduplicator/placement.go
@@ -37,54 +37,63 @@
 	Lead      timekeeper.Millis // how far ahead of its observation a change takes effect
 	Window    timekeeper.Millis
 
-	mutex sync.RWMutex
-	zones map[string]*observation
-	homes map[kind]*observation
+	mutex sync.Mutex // held while a change is recorded
+	zones sync.Map   // data centre to *observation
+	homes sync.Map   // kind to *observation
 }
 
-// observation is the recorded schedule of one list, and the snapshot that it was last compared with.
+// observation is the recorded schedule of one list, and the snapshot that it was last compared with. It is not changed
+// once it is stored.
 type observation struct {
 	first    *tracker.Member
 	count    int
 	schedule Schedule
 }
 
+// last returns the names in the latest epoch.
+func (n *observation) last() []string {
+	return n.schedule.Epochs[len(n.schedule.Epochs)-1].Names
+}
+
+// load returns the stored observation, or nil.
+func load(observations *sync.Map, key any) *observation {
+	found, _ := observations.Load(key)
+	n, _ := found.(*observation)
+	return n
+}
+
 // Zones implements Placement.
 func (o *Observed) Zones(account, call string) Schedule {
 	key := kind{account, call}
 	names := o.View(account, call)
-	o.mutex.RLock()
-	seen := o.homes[key]
-	o.mutex.RUnlock()
-	if seen != nil && slices.Equal(names, seen.schedule.Epochs[len(seen.schedule.Epochs)-1].Names) {
+	seen := load(&o.homes, key)
+	switch {
+	case seen != nil && slices.Equal(names, seen.last()):
 		return seen.schedule
-	}
-	if len(names) == 0 && seen == nil {
+	case seen == nil && len(names) == 0:
 		return Schedule{}
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.homes == nil {
-		o.homes = make(map[kind]*observation)
-	}
 	next := observation{schedule: Schedule{Until: Forever}}
-	if seen := o.homes[key]; seen != nil {
+	if seen := load(&o.homes, key); seen != nil {
 		next.schedule = seen.schedule
 	}
 	now := o.Clock.Now()
 	next.schedule = next.schedule.Extend(now+o.Lead, now-2*o.Window, names)
-	o.homes[key] = &next
+	o.homes.Store(key, &next)
 	return next.schedule
 }
 
 // Homes implements Placement. It returns the lists in the view in force and those recorded for calls.
 func (o *Observed) Homes() []Schedule {
-	o.mutex.RLock()
-	defer o.mutex.RUnlock()
-	schedules := make([]Schedule, 0, len(o.homes))
-	for _, seen := range o.homes {
-		schedules = append(schedules, seen.schedule)
-	}
+	var schedules []Schedule
+	o.homes.Range(func(_, found any) bool {
+		if n, ok := found.(*observation); ok {
+			schedules = append(schedules, n.schedule)
+		}
+		return true
+	})
 	if o.Lists != nil {
 		for _, names := range o.Lists() {
 			schedules = append(schedules, Schedule{Epochs: []Epoch{{Names: names}}, Until: Forever})
@@ -99,24 +108,19 @@
 	if len(members) == 0 {
 		return Schedule{}
 	}
-	o.mutex.RLock()
-	seen := o.zones[zone]
-	o.mutex.RUnlock()
+	seen := load(&o.zones, zone)
 	if seen != nil && seen.first == &members[0] && seen.count == len(members) {
 		return seen.schedule
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.zones == nil {
-		o.zones = make(map[string]*observation)
-	}
 	next := observation{first: &members[0], count: len(members), schedule: Schedule{Until: Forever}}
-	if seen := o.zones[zone]; seen != nil {
+	if seen := load(&o.zones, zone); seen != nil {
 		next.schedule = seen.schedule
 	}
 	now := o.Clock.Now()
 	next.schedule = next.schedule.Extend(o.effect(now, members, next.schedule), now-2*o.Window, namesOf(members))
-	o.zones[zone] = &next
+	o.zones.Store(zone, &next)
 	return next.schedule
 }
 
--- a/internal/deduplicator/request.go
+++ b/internal/deduplicator/request.go
@@ -9,9 +9,10 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// Request is one attempt to run a request id at a host node. Fresh says that the entry node created the id for this
-// request. Deadline is in ms since the Unix epoch; 0 means none. Sequence is that of the Proceed decision and tells
-// two attempts with the same number apart in Release and Complete.
+// Request is one attempt to run a request id at a host node. Host and Incarnation name the process that the entry node
+// sent the attempt to; another process refuses it, because the attempt may have been settled with the first one. Fresh
+// says that the entry node created the id for this request. Deadline is in ms since the Unix epoch; 0 means none.
+// Sequence is that of the Proceed decision and tells two attempts with the same number apart in Release and Complete.
 type Request struct {
 	ID          string
 	Attempt     int
--- a/internal/deduplicator/rules_test.go
+++ b/internal/deduplicator/rules_test.go
@@ -109,10 +109,25 @@
 		m := newMesh(4, Options{})
 		m.setRules(off)
 		id := m.nodes["n00"].Mint("a", "c")
-		first, _ := m.nodes["n00"].Claim(t.Context(), Request{ID: id, Attempt: 1, Account: "a", Call: "c", Fresh: true})
+		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
+		first, _ := m.nodes["n00"].Claim(t.Context(), r)
 		delete(m.nodes, "n00")
 		return runs(first, m.claim(t, "n01", id))
 	}},
+	{"attempt settled, host restarted, attempt arrives late", rules{anyLife: true}, func(t *testing.T, off rules) int {
+		m := newMesh(4, Options{})
+		m.setRules(off)
+		r := Request{ID: m.nodes["n00"].Mint("a", "c"), Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
+		if record, _ := m.nodes["n00"].Settle(r.ID, 1, 1); record.State != StateReleased {
+			t.Fatal("the attempt is not settled")
+		}
+		m.start("n00", 2, 2, Options{})
+		m.setRules(off)
+		late, _ := m.nodes["n00"].Claim(t.Context(), r)
+		r.Attempt++
+		second, _ := m.nodes["n01"].Claim(t.Context(), r)
+		return runs(late, second)
+	}},
 	{"owner's memory is full", rules{forget: true}, func(t *testing.T, off rules) int {
 		m := newMesh(1, Options{Bytes: 4 * shardCount * 20 * entryCost})
 		m.setRules(off)
--- a/internal/deduplicator/schedule_test.go
+++ b/internal/deduplicator/schedule_test.go
@@ -13,12 +13,13 @@
 	At, Span timekeeper.Millis
 }
 
-// present sends an id to a host. The id is born by a clock that is Drift off.
+// present sends an id to a host. The id is born by a clock that is Drift off, or created by the entry node if Fresh.
+// The message takes Late; after a second the entry node gives up on it, asks the host and perhaps sends it again.
 type present struct {
-	ID, Host  int
-	At, Drift timekeeper.Millis
-	Abandon   bool
-	Queued    timekeeper.Millis
+	ID, Host        int
+	At, Drift, Late timekeeper.Millis
+	Abandon, Fresh  bool
+	Queued          timekeeper.Millis
 }
 
 // schedule is everything that happens in one simulation besides the fates of messages, which follow from Seed.
@@ -44,6 +45,7 @@
 		return present{
 			ID: rapid.IntRange(0, 9).Draw(t, "id"), Host: rapid.IntRange(0, 4).Draw(t, "host"),
 			At: millis(35000).Draw(t, "at"), Drift: millis(6000).Draw(t, "drift") - 3000,
+			Late: max(0, millis(3000).Draw(t, "late")-1000), Fresh: rapid.IntRange(0, 3).Draw(t, "fresh") == 0,
 			Abandon: rapid.IntRange(0, 4).Draw(t, "abandon") == 0, Queued: millis(3000).Draw(t, "queued"),
 		}
 	})
--- a/internal/deduplicator/service.go
+++ b/internal/deduplicator/service.go
@@ -109,7 +109,8 @@
 	return v.conflict(ctx, r, c.conflict), nil
 }
 
-// admit refuses ids that are malformed or whose birth is out of range, and requests past their deadline. Another node's
+// admit refuses ids that are malformed or whose birth is out of range, requests for an earlier process of this node and
+// requests past their deadline. Another node's
 // clock may be Skew behind or ahead of this one, so an id is surely not accepted anywhere only if it is born twice Skew
 // ahead.
 func (v *Service) admit(now timekeeper.Millis, r Request) (ID, Decision) {
@@ -123,6 +124,8 @@
 		return d, Refuse{classifier.Unknown(classifier.CodeIDFuture, r.ID, "born %d ms ahead", birth-now)}
 	case now-birth > v.options.Window:
 		return d, Refuse{classifier.Unknown(classifier.CodeIDExpired, r.ID, "born %d ms ago", now-birth)}
+	case r.Incarnation != v.options.Incarnation && !v.store.rules.anyLife:
+		return d, Refuse{v.notRun(r, classifier.CodeNotReady, "the attempt was sent to an earlier process of this node")}
 	case r.Deadline != 0 && now >= r.Deadline:
 		return d, Refuse{v.notRun(r, classifier.CodeDeadlinePassed, "the deadline passed before the claim")}
 	}
@@ -205,13 +208,14 @@
 	return v.complete(ctx, record)
 }
 
-// Settle tells the node that sent an attempt what became of it; see Host.Settle.
-func (v *Service) Settle(id string, attempt int) (Record, error) {
+// Settle tells the node that sent an attempt to a process with the given incarnation what became of it; see
+// Host.Settle.
+func (v *Service) Settle(id string, attempt int, incarnation uint64) (Record, error) {
 	d, err := ParseID(id)
 	if err != nil {
 		return Record{}, err
 	}
-	return v.host.Settle(v.options.Clock.Now(), d, attempt), nil
+	return v.host.Settle(v.options.Clock.Now(), d, attempt, incarnation), nil
 }
 
 // Bytes is the memory in use by records and answers.
--- a/internal/deduplicator/service_test.go
+++ b/internal/deduplicator/service_test.go
@@ -46,11 +46,11 @@
 func settledAttemptNeverRuns(t *testing.T) {
 	m := newMesh(3, Options{})
 	id := m.nodes["n00"].Mint("a", "c")
-	record, err := m.nodes["n00"].Settle(id, 1)
+	record, err := m.nodes["n00"].Settle(id, 1, 1)
 	if err != nil || record.State != StateReleased {
 		t.Fatalf("an unseen attempt is %v, %v", record.State, err)
 	}
-	late := Request{ID: id, Attempt: 1, Account: "a", Call: "c", Fresh: true}
+	late := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
 	if d, _ := m.nodes["n00"].Claim(t.Context(), late); runs(d) != 0 {
 		t.Fatal("a settled attempt runs")
 	}
@@ -58,11 +58,28 @@
 	if d, _ := m.nodes["n00"].Claim(t.Context(), late); runs(d) != 1 {
 		t.Fatal("the next attempt does not run")
 	}
-	if record, _ := m.nodes["n00"].Settle(id, 2); record.State != StateClaimed {
+	if record, _ := m.nodes["n00"].Settle(id, 2, 1); record.State != StateClaimed {
 		t.Fatalf("an attempt that may run is settled as %v", record.State)
 	}
 }
 
+// Guards against "not run" from a restarted host for an attempt that ran on its predecessor.
+func TestRestartedHostCannotSettle(t *testing.T) {
+	for _, amnesiac := range []bool{false, true} {
+		m := newMesh(3, Options{})
+		id := m.nodes["n00"].Mint("a", "c")
+		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
+		if d, _ := m.nodes["n00"].Claim(t.Context(), r); runs(d) != 1 {
+			t.Fatal("the attempt does not run")
+		}
+		m.start("n00", 2, 2, Options{})
+		m.nodes["n00"].host.amnesiac = amnesiac
+		if record, _ := m.nodes["n00"].Settle(id, 1, 1); (record.State == StateReleased) != amnesiac {
+			t.Errorf("amnesiac %v: an attempt that ran is settled as %v", amnesiac, record.State)
+		}
+	}
+}
+
 // Guards against a release by an attempt that does not hold the claim, which would free the id of a running one.
 func TestReleaseNeedsTheClaim(t *testing.T) { synctest.Test(t, releaseNeedsTheClaim) }
 
@@ -128,7 +145,7 @@
 	r := Request{ID: id, Account: "a", Call: "c", Sequence: proceed.Sequence}
 	_ = m.nodes["n00"].Complete(t.Context(), r, Answer{Status: 200})
 	for _, host := range []string{"n00", "n01"} {
-		decision, _ := m.nodes[host].Claim(t.Context(), Request{ID: id, Account: "b", Call: "c"})
+		decision, _ := m.nodes[host].Claim(t.Context(), Request{ID: id, Incarnation: 1, Account: "b", Call: "c"})
 		refuse, ok := decision.(Refuse)
 		if !ok || refuse.Error.Outcome != classifier.OutcomeUnknown {
 			t.Errorf("at %s another account gets %+v", host, decision)
--- a/internal/deduplicator/sim_test.go
+++ b/internal/deduplicator/sim_test.go
@@ -150,16 +150,55 @@
 func (s *sim) identify(at present) ID {
 	if _, known := s.born[at.ID]; !known {
 		random := rand.New(rand.NewPCG(s.schedule.Seed, uint64(at.ID)))
-		s.born[at.ID] = callerID(timekeeper.Millis(time.Now().UnixMilli())+at.Drift, random)
+		now := timekeeper.Millis(time.Now().UnixMilli())
+		s.born[at.ID] = callerID(now+at.Drift, random)
+		if at.Fresh {
+			s.born[at.ID] = Mint(now, random, "", nil)
+		}
 	}
 	return s.born[at.ID]
 }
 
+// entry presents an id at a host as an entry node does: it settles an attempt that it lost, and sends a second one to
+// another host after "not run".
+func (s *sim) entry(at present, index int) {
+	s.mutex.Lock()
+	_, again := s.born[at.ID]
+	r := Request{ID: s.identify(at).String(), Attempt: 2*index + 1, Account: "a", Call: "c", Fresh: at.Fresh && !again}
+	shown, name := time.Now(), s.names[at.Host%len(s.names)]
+	r.Host, r.Incarnation = name, s.processes[name].incarnation
+	s.mutex.Unlock()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		<-time.After(at.Late.Duration())
+		s.host(r, at, shown)
+	})
+	if at.Late <= timekeeper.Second {
+		return
+	}
+	<-time.After(time.Second)
+	s.mutex.Lock()
+	p := s.processes[name]
+	asked := p.alive && time.Until(p.paused) <= 0
+	second := r
+	second.Attempt++
+	second.Host = s.names[(at.Host+1)%len(s.names)]
+	second.Incarnation = s.processes[second.Host].incarnation
+	s.mutex.Unlock()
+	if !asked {
+		return
+	}
+	p.tick()
+	if record, err := p.service.Settle(r.ID, r.Attempt, r.Incarnation); err == nil && record.State == StateReleased {
+		s.host(second, at, shown)
+	}
+}
+
 // host runs one attempt at the host node: claim, queue, run, record.
-func (s *sim) host(at present, index int) {
+func (s *sim) host(r Request, at present, shown time.Time) {
 	s.mutex.Lock()
-	p := s.processes[s.names[at.Host%len(s.names)]]
-	id, shown := s.identify(at).String(), time.Now()
+	p := s.processes[r.Host]
 	alive := p.alive
 	s.mutex.Unlock()
 	if !alive {
@@ -168,7 +207,6 @@
 	p.wait(0)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	r := Request{ID: id, Attempt: index + 1, Host: p.name, Incarnation: p.incarnation, Account: "a", Call: "c"}
 	for ctx.Err() == nil {
 		decision, _ := p.service.Claim(ctx, r)
 		wait, waits := decision.(Wait)
@@ -271,7 +309,7 @@
 func TestAtMostOnce(t *testing.T) {
 	presented, started := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		s := simulate(t, schedules(rt), rules{}, (*sim).host)
+		s := simulate(t, schedules(rt), rules{}, (*sim).entry)
 		if len(s.violations) > 0 {
 			rt.Fatalf("violations: %q", s.violations)
 		}
@@ -290,8 +328,9 @@
 		attempt func(*sim, present, int)
 	}{
 		"naive":            {rules{}, (*sim).naive},
-		"one grant":        {rules{one: true}, (*sim).host},
-		"uncertain owners": {rules{anyone: true}, (*sim).host},
+		"one grant":        {rules{one: true}, (*sim).entry},
+		"uncertain owners": {rules{anyone: true}, (*sim).entry},
+		"fresh ids again":  {rules{unmarked: true}, (*sim).entry},
 	} {
 		found := 0
 		generator := rapid.Custom(schedules)
--- a/internal/deduplicator/slab.go
+++ b/internal/deduplicator/slab.go
@@ -10,6 +10,7 @@
 	kind     uint32
 	next     uint32
 	attempt  uint16
+	settled  uint16 // at a host: attempts up to this number never start
 	status   uint16
 	state    State
 }
--- a/internal/deduplicator/store.go
+++ b/internal/deduplicator/store.go
@@ -20,6 +20,7 @@
 	unbound  bool // owners accept ids from the future
 	unmarked bool // minted ids may be claimed again
 	narrow   bool // owners allow for the skew of callers only
+	anyLife  bool // hosts run attempts that were sent to their predecessor
 	one      bool // one grant is enough
 }
 
--- a/internal/deduplicator/store_test.go
+++ b/internal/deduplicator/store_test.go
@@ -72,9 +72,7 @@
 			}
 			last = now
 		}
-		for d := range model {
-			store.table.lock(last+2*defaultWindow, d).mutex.Unlock()
-		}
+		store.table.each(last+2*defaultWindow, func([]Record) {})
 		if store.Count() != 0 {
 			rt.Fatalf("%d records stay after the window", store.Count())
 		}
@@ -197,7 +195,8 @@
 	m, random := newMesh(139, Options{Bytes: 1 << 28}), rand.New(rand.NewPCG(1, 1))
 	b.ReportAllocs()
 	for b.Loop() {
-		r := Request{ID: callerID(m.clock.Clock().Now(), random).String(), Attempt: 1, Account: "a", Call: "c"}
+		id := callerID(m.clock.Clock().Now(), random).String()
+		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c"}
 		if d, _ := m.nodes["n00"].Claim(b.Context(), r); runs(d) != 1 {
 			b.Fatalf("refused: %+v", d)
 		}
--- a/internal/deduplicator/table.go
+++ b/internal/deduplicator/table.go
@@ -12,11 +12,12 @@
 // table keeps records by id in shards.
 type table struct {
 	shards [shardCount]shard
+	spread index // only its seeded hash is used
 }
 
 // newTable returns a table bounded by limit bytes that keeps answers up to largest bytes.
 func newTable(limit, largest int, window timekeeper.Millis) *table {
-	t := &table{}
+	t := &table{spread: index{seed: rand.Uint64()}}
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.window, s.limit, s.largest = window, limit/shardCount, largest
@@ -25,9 +26,14 @@
 	return t
 }
 
+// shard returns the part that keeps an id. The hash is seeded, so that callers cannot choose ids that fill one part.
+func (t *table) shard(d ID) *shard {
+	return &t.shards[t.spread.hash(d)>>32%shardCount]
+}
+
 // lock returns the shard of an id, locked, without records that expired by now.
 func (t *table) lock(now timekeeper.Millis, d ID) *shard {
-	s := &t.shards[d[11]%shardCount]
+	s := t.shard(d)
 	s.mutex.Lock()
 	s.expire(now)
 	return s
