deduplicator: check the names of owners and hosts, keep agreed schedules on the platform

Cause: the address of a dead owner can belong to another owner. A host with an old member table then counted one owner twice and won a claim next to a rightful one. The agreed schedules had no writer. Ruled out: comparing incarnations only; two owners at one address differ in name, not surely in start time. Answering a repeated claim message before the name is checked; the second copy came from the same host and was granted. Change: claim messages carry the owner's name, attempts the host's name; Keeper reads schedules from the platform and extends them as a relay, with writes conditional on the revision.

--- a/internal/deduplicator/host.go
+++ b/internal/deduplicator/host.go
@@ -15,7 +15,6 @@
 	name        string
 	incarnation uint64
 	sequence    atomic.Uint64
-	amnesiac    bool // settles attempts that were sent to an earlier process; only tests set it
 }
 
 // NewHost returns an empty table for a host process, bounded by limit bytes.
@@ -83,14 +82,11 @@
 	return Record{ID: d}
 }
 
-// Settle returns the record of an id for an attempt that was sent to a process with the given incarnation and whose
-// sender lost contact. If the host has not seen the id, or its attempts were all released, attempts up to this number
-// are refused from now on, and the state is StateReleased: the attempt did not run and never will. StateNone means
-// that this host cannot tell, because the attempt may have run on an earlier process or because there is no room.
-func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int, incarnation uint64) Record {
-	if incarnation != h.incarnation && !h.amnesiac {
-		return Record{ID: d}
-	}
+// Settle returns the record of an id for an attempt that was sent to this process and whose sender lost contact. If the
+// host has not seen the id, or its attempts were all released, attempts up to this number are refused from now on, and
+// the state is StateReleased: the attempt did not run and never will. StateNone means that there is no room to record
+// this.
+func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int) Record {
 	s := h.table.lock(now, d)
 	defer s.mutex.Unlock()
 	e := s.find(d)
--- /dev/null
+++ b/internal/deduplicator/keeper.go
@@ -0,0 +1,157 @@
+package deduplicator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// KindSchedule is the platform kind of schedules. Their names are "zone.<data centre>" and "service.<service>".
+const KindSchedule = "schedule"
+
+const (
+	zonePrefix    = "zone."
+	servicePrefix = "service."
+	defaultLead   = 60 * timekeeper.Minute
+)
+
+// KeeperOptions sets up a Keeper.
+type KeeperOptions struct {
+	Platform  connector.Platform
+	Clock     timekeeper.Clock
+	Agreed    *Agreed
+	Directory Directory
+	Zone      string                     // this node's data centre
+	Services  func() map[string][]string // data centres of each service in the view in force, sorted
+	Relay     func() bool                // whether this node writes schedules
+	Window    timekeeper.Millis          // memory window, default 10 min
+	// Lead is how long ids get owners without a reachable platform, and how long a new name waits to become an owner.
+	// Default 60 min.
+	Lead timekeeper.Millis
+}
+
+// Keeper reads the agreed schedules from the platform, and extends them if this node is a relay.
+type Keeper struct {
+	options KeeperOptions
+}
+
+// NewKeeper returns a keeper that has read nothing yet.
+func NewKeeper(options KeeperOptions) *Keeper {
+	options.Window = orDefault(options.Window, defaultWindow)
+	options.Lead = orDefault(options.Lead, defaultLead)
+	return &Keeper{options: options}
+}
+
+// Run refreshes the schedules until the context ends: eight times per lead, and until the first success every second.
+func (k *Keeper) Run(ctx context.Context) error {
+	for {
+		wait := (k.options.Lead / 8).Duration()
+		if k.Refresh(ctx) != nil {
+			wait = time.Second
+		}
+		timer := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// Refresh reads all schedules, and as a relay first extends those that need it. One List is the only call of a node
+// that is not a relay.
+func (k *Keeper) Refresh(ctx context.Context) error {
+	snapshot, err := k.options.Platform.List(ctx, KindSchedule)
+	if err != nil {
+		return err
+	}
+	if k.options.Relay() && k.extend(ctx, snapshot.Objects) {
+		if snapshot, err = k.options.Platform.List(ctx, KindSchedule); err != nil {
+			return err
+		}
+	}
+	var first error
+	for i := range snapshot.Objects {
+		if err := k.take(&snapshot.Objects[i]); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// take puts one schedule in force on this node.
+func (k *Keeper) take(object *connector.Object) error {
+	schedule, err := decodeSchedule(object)
+	if err != nil {
+		return err
+	}
+	if zone, ok := strings.CutPrefix(object.Name, zonePrefix); ok {
+		k.options.Agreed.SetOwners(zone, schedule)
+	}
+	if service, ok := strings.CutPrefix(object.Name, servicePrefix); ok {
+		k.options.Agreed.SetZones(service, schedule)
+	}
+	return nil
+}
+
+// extend writes the schedules of this data centre and of all services where names changed or less than half of the
+// lead is left, and reports whether it wrote any. A write that fails is left to the next refresh or another relay.
+func (k *Keeper) extend(ctx context.Context, objects []connector.Object) bool {
+	wanted := make(map[string][]string)
+	if members := k.options.Directory.Zone(k.options.Zone); len(members) > 0 {
+		wanted[zonePrefix+k.options.Zone] = namesOf(members)
+	}
+	for service, zones := range k.options.Services() {
+		wanted[servicePrefix+service] = zones
+	}
+	wrote := false
+	for name, names := range wanted {
+		object := connector.Object{Kind: KindSchedule, Name: name}
+		if at := slices.IndexFunc(objects, func(o connector.Object) bool { return o.Name == name }); at >= 0 {
+			object = objects[at]
+		}
+		wrote = k.write(ctx, object, names) || wrote
+	}
+	return wrote
+}
+
+// write extends one schedule if it needs it, and reports whether it tried. The revision of the object makes the write
+// fail if the schedule has changed since it was read.
+func (k *Keeper) write(ctx context.Context, object connector.Object, names []string) bool {
+	schedule, err := decodeSchedule(&object)
+	if err != nil {
+		return false
+	}
+	now := k.options.Clock.Now()
+	last := len(schedule.Epochs) - 1
+	if last >= 0 && slices.Equal(schedule.Epochs[last].Names, names) && schedule.Until-now > k.options.Lead/2 {
+		return false
+	}
+	value, err := json.Marshal(schedule.Plan(now, k.options.Lead, now-2*k.options.Window, names))
+	if err != nil {
+		return false
+	}
+	object.Value = value
+	_, err = k.options.Platform.Put(ctx, object)
+	return err == nil || classifier.CodeOf(err) == classifier.CodeConflict
+}
+
+// decodeSchedule reads a schedule; an object that does not exist yet is an empty one.
+func decodeSchedule(object *connector.Object) (Schedule, error) {
+	var schedule Schedule
+	if len(object.Value) == 0 {
+		return schedule, nil
+	}
+	if err := json.Unmarshal(object.Value, &schedule); err != nil {
+		return schedule, classifier.Wrap(classifier.CodePlatformReply, object.Name, err)
+	}
+	return schedule, nil
+}
--- a/internal/deduplicator/mesh_test.go
+++ b/internal/deduplicator/mesh_test.go
@@ -17,6 +17,7 @@
 	clock   *timekeeper.ManualClock
 	members []tracker.Member
 	nodes   map[string]*Service
+	moved   map[string]string // who answers at the address of another node
 }
 
 // newMesh returns count nodes in data centre "z" that all started long before now.
@@ -56,11 +57,14 @@
 	return tracker.Member{}, false
 }
 
-func (m *mesh) Call(ctx context.Context, peer, _ string, arguments, reply any, _ timekeeper.Millis) error {
+func (m *mesh) Call(_ context.Context, peer, _ string, arguments, reply any, _ timekeeper.Millis) error {
+	if moved, found := m.moved[peer]; found {
+		peer = moved
+	}
 	if m.nodes[peer] == nil {
 		return classifier.New(classifier.CodePeerClosed, peer, "down")
 	}
-	return m.nodes[peer].call(ctx, peer, "", arguments, reply)
+	return m.nodes[peer].local(arguments, reply)
 }
 
 // callerID returns an id that a caller created.
@@ -70,11 +74,23 @@
 	return d
 }
 
+// request is the first attempt of an id at a host.
+func (m *mesh) request(host, id string) Request {
+	incarnation := m.nodes[host].options.Incarnation
+	return Request{ID: id, Attempt: 1, Host: host, Incarnation: incarnation, Account: "a", Call: "c"}
+}
+
+// fresh is the first attempt at n00 of an id that the entry node created.
+func (m *mesh) fresh() Request {
+	r := m.request("n00", m.nodes["n00"].Mint("a", "c"))
+	r.Fresh = true
+	return r
+}
+
 // claim presents an id at a host. It needs a synctest bubble.
 func (m *mesh) claim(t testing.TB, host, id string) Decision {
 	t.Helper()
-	r := Request{ID: id, Attempt: 1, Host: host, Incarnation: m.nodes[host].options.Incarnation, Account: "a", Call: "c"}
-	decision, err := m.nodes[host].Claim(t.Context(), r)
+	decision, err := m.nodes[host].Claim(t.Context(), m.request(host, id))
 	if err != nil {
 		t.Fatalf("claim: %v", err)
 	}
@@ -82,23 +98,25 @@
 	return decision
 }
 
+// finish claims and completes an id at a host. Owners that are down miss the answer.
+func (m *mesh) finish(t *testing.T, host, id, body string) {
+	t.Helper()
+	proceed, ok := m.claim(t, host, id).(Proceed)
+	r := m.request(host, id)
+	r.Sequence = proceed.Sequence
+	if !ok {
+		t.Fatalf("%s does not run", id)
+	}
+	_ = m.nodes[host].Complete(t.Context(), r, Answer{Status: 200, Body: []byte(body)})
+}
+
 // Guards against a repeat at another host that runs again or loses the first answer.
 func TestRepeatGetsFirstAnswer(t *testing.T) { synctest.Test(t, repeatGetsFirstAnswer) }
 
 func repeatGetsFirstAnswer(t *testing.T) {
 	m := newMesh(5, Options{})
 	id := callerID(m.clock.Clock().Now(), rand.New(rand.NewPCG(1, 1))).String()
-	proceed, ok := m.claim(t, "n00", id).(Proceed)
-	if !ok {
-		t.Fatal("the first attempt may not run")
-	}
-	if _, ok := m.claim(t, "n01", id).(Wait); !ok {
-		t.Fatal("a second attempt does not wait for the first")
-	}
-	r := Request{ID: id, Attempt: 1, Host: "n00", Account: "a", Call: "c", Sequence: proceed.Sequence}
-	if err := m.nodes["n00"].Complete(t.Context(), r, Answer{Status: 200, Body: []byte("first")}); err != nil {
-		t.Fatal(err)
-	}
+	m.finish(t, "n00", id, "first")
 	replay, ok := m.claim(t, "n01", id).(Replay)
 	if !ok || string(replay.Answer.Body) != "first" {
 		t.Fatalf("a repeat gets %v", replay)
--- a/internal/deduplicator/message.go
+++ b/internal/deduplicator/message.go
@@ -24,9 +24,11 @@
 	VerdictFuture
 )
 
-// ClaimArguments asks an owner to hold an id. Owners is the fingerprint of the owner set that the claimant uses.
+// ClaimArguments asks an owner to hold an id. Owner is its name, because its address may belong to another node by now.
+// Owners is the fingerprint of the owner set that the claimant uses.
 type ClaimArguments struct {
 	Format int    `msgpack:"f"`
+	Owner  string `msgpack:"n"`
 	Owners uint64 `msgpack:"o"`
 	Record Record `msgpack:"r"`
 }
@@ -50,12 +52,12 @@
 	Records Records `msgpack:"r"`
 }
 
-// LookupArguments asks for the record of an id. Host asks the host node's own table instead of the owner's store;
-// then Incarnation and Sequence name a claim that the host is asked to certify as released if it never started.
+// LookupArguments asks for the record of an id. With a Host, it asks that host node's own table instead of the owner's
+// store; then Incarnation and Sequence name a claim that the host is asked to certify as released if it never started.
 type LookupArguments struct {
 	Format      int    `msgpack:"f"`
 	ID          ID     `msgpack:"i"`
-	Host        bool   `msgpack:"h"`
+	Host        string `msgpack:"h"`
 	Incarnation uint64 `msgpack:"n"`
 	Sequence    uint64 `msgpack:"q"`
 }
--- a/internal/deduplicator/messages.go
+++ b/internal/deduplicator/messages.go
@@ -21,11 +21,11 @@
 func (v *Service) collect(ctx context.Context, claim *Record) *claims {
 	owners := v.owners(claim.ID, claim.Account, claim.Call)
 	c := &claims{owners: len(owners), one: v.store.rules.one}
-	arguments := ClaimArguments{Format: Format, Owners: fingerprint(owners), Record: *claim}
+	set := fingerprint(owners)
 	replies := make(chan ClaimReply, len(owners))
 	for _, name := range owners {
 		go func() {
-			var reply ClaimReply
+			arguments, reply := ClaimArguments{Format: Format, Owner: name, Owners: set, Record: *claim}, ClaimReply{}
 			if v.call(ctx, name, "Deduplicator.Claim", &arguments, &reply) != nil {
 				reply = ClaimReply{}
 			}
--- a/internal/deduplicator/receiver.go
+++ b/internal/deduplicator/receiver.go
@@ -21,7 +21,8 @@
 		return err
 	}
 	v, r := c.service, &arguments.Record
-	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners
+	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners &&
+		(arguments.Owner == v.options.Name || v.store.rules.anyName)
 	since := timekeeper.Millis(0)
 	if v.options.Since != nil {
 		since = v.options.Since()
@@ -64,11 +65,12 @@
 	v := c.service
 	now := v.options.Clock.Now()
 	reply.Format = Format
-	if arguments.Host {
+	switch arguments.Host {
+	case "":
+		reply.Record = v.store.Lookup(now, arguments.ID)
+	case v.options.Name:
 		reply.Record = v.host.Certify(now, arguments.ID, arguments.Incarnation, arguments.Sequence)
-		return nil
 	}
-	reply.Record = v.store.Lookup(now, arguments.ID)
 	return nil
 }
 
--- a/internal/deduplicator/resolve.go
+++ b/internal/deduplicator/resolve.go
@@ -48,7 +48,7 @@
 // certify asks the host of a claim what became of it.
 func (v *Service) certify(ctx context.Context, record Record) (Record, error) {
 	arguments := LookupArguments{
-		Format: Format, ID: record.ID, Host: true, Incarnation: record.Incarnation, Sequence: record.Sequence,
+		Format: Format, ID: record.ID, Host: record.Host, Incarnation: record.Incarnation, Sequence: record.Sequence,
 	}
 	var reply LookupReply
 	err := v.call(ctx, record.Host, "Deduplicator.Lookup", &arguments, &reply)
--- a/internal/deduplicator/rules_test.go
+++ b/internal/deduplicator/rules_test.go
@@ -108,26 +108,34 @@
 	{"caller sends a node's id again after a crash", rules{unmarked: true}, func(t *testing.T, off rules) int {
 		m := newMesh(4, Options{})
 		m.setRules(off)
-		id := m.nodes["n00"].Mint("a", "c")
-		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
+		r := m.fresh()
 		first, _ := m.nodes["n00"].Claim(t.Context(), r)
 		delete(m.nodes, "n00")
-		return runs(first, m.claim(t, "n01", id))
+		return runs(first, m.claim(t, "n01", r.ID))
 	}},
 	{"attempt settled, host restarted, attempt arrives late", rules{anyLife: true}, func(t *testing.T, off rules) int {
 		m := newMesh(4, Options{})
 		m.setRules(off)
-		r := Request{ID: m.nodes["n00"].Mint("a", "c"), Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
-		if record, _ := m.nodes["n00"].Settle(r.ID, 1, 1); record.State != StateReleased {
+		r := m.fresh()
+		if record, _ := m.nodes["n00"].Settle(r); record.State != StateReleased {
 			t.Fatal("the attempt is not settled")
 		}
 		m.start("n00", 2, 2, Options{})
 		m.setRules(off)
 		late, _ := m.nodes["n00"].Claim(t.Context(), r)
-		r.Attempt++
+		r.Attempt, r.Host = 2, "n01"
 		second, _ := m.nodes["n01"].Claim(t.Context(), r)
 		return runs(late, second)
 	}},
+	{"another owner has the address of a restarted one", rules{anyName: true}, func(t *testing.T, off rules) int {
+		m := newMesh(4, Options{})
+		m.setRules(off)
+		d := m.owned(testNow, []string{"n00", "n01", "n02", "n03"}, "n00", "n01", "n02")
+		m.moved = map[string]string{"n00": "n01", "n02": "down"} // the first host's member table is out of date
+		first := m.claim(t, "n03", d.String())
+		m.moved = map[string]string{"n01": "down"}
+		return runs(first, m.claim(t, "n02", d.String()))
+	}},
 	{"owner's memory is full", rules{forget: true}, func(t *testing.T, off rules) int {
 		m := newMesh(1, Options{Bytes: 4 * shardCount * 20 * entryCost})
 		m.setRules(off)
--- a/internal/deduplicator/service.go
+++ b/internal/deduplicator/service.go
@@ -109,8 +109,8 @@
 	return v.conflict(ctx, r, c.conflict), nil
 }
 
-// admit refuses ids that are malformed or whose birth is out of range, requests for an earlier process of this node and
-// requests past their deadline. Another node's
+// admit refuses ids that are malformed or whose birth is out of range, requests for another process and requests past
+// their deadline. Another node's
 // clock may be Skew behind or ahead of this one, so an id is surely not accepted anywhere only if it is born twice Skew
 // ahead.
 func (v *Service) admit(now timekeeper.Millis, r Request) (ID, Decision) {
@@ -124,14 +124,19 @@
 		return d, Refuse{classifier.Unknown(classifier.CodeIDFuture, r.ID, "born %d ms ahead", birth-now)}
 	case now-birth > v.options.Window:
 		return d, Refuse{classifier.Unknown(classifier.CodeIDExpired, r.ID, "born %d ms ago", now-birth)}
-	case r.Incarnation != v.options.Incarnation && !v.store.rules.anyLife:
-		return d, Refuse{v.notRun(r, classifier.CodeNotReady, "the attempt was sent to an earlier process of this node")}
+	case !v.meant(r) && !v.store.rules.anyLife:
+		return d, Refuse{v.notRun(r, classifier.CodeNotReady, "the attempt was sent to another process")}
 	case r.Deadline != 0 && now >= r.Deadline:
 		return d, Refuse{v.notRun(r, classifier.CodeDeadlinePassed, "the deadline passed before the claim")}
 	}
 	return d, nil
 }
 
+// meant reports whether the attempt was sent to this process. Its address may have belonged to another one before.
+func (v *Service) meant(r Request) bool {
+	return r.Host == v.options.Name && r.Incarnation == v.options.Incarnation
+}
+
 // notRun refuses an attempt that did not run. The outcome of an id from a caller is unknown nevertheless, because the
 // caller may have presented it before.
 func (v *Service) notRun(r Request, code classifier.Code, reason string) *classifier.Error {
@@ -208,14 +213,14 @@
 	return v.complete(ctx, record)
 }
 
-// Settle tells the node that sent an attempt to a process with the given incarnation what became of it; see
-// Host.Settle.
-func (v *Service) Settle(id string, attempt int, incarnation uint64) (Record, error) {
-	d, err := ParseID(id)
-	if err != nil {
-		return Record{}, err
+// Settle tells the entry node what became of an attempt that it sent to this node, after it lost contact. StateReleased
+// means that the attempt did not run and never will, and StateNone that this process cannot tell; see Host.Settle.
+func (v *Service) Settle(r Request) (Record, error) {
+	d, err := ParseID(r.ID)
+	if err != nil || !v.meant(r) && !v.store.rules.anyLife {
+		return Record{ID: d}, err
 	}
-	return v.host.Settle(v.options.Clock.Now(), d, attempt, incarnation), nil
+	return v.host.Settle(v.options.Clock.Now(), d, r.Attempt), nil
 }
 
 // Bytes is the memory in use by records and answers.
--- a/internal/deduplicator/service_test.go
+++ b/internal/deduplicator/service_test.go
@@ -45,12 +45,11 @@
 
 func settledAttemptNeverRuns(t *testing.T) {
 	m := newMesh(3, Options{})
-	id := m.nodes["n00"].Mint("a", "c")
-	record, err := m.nodes["n00"].Settle(id, 1, 1)
+	late := m.fresh()
+	record, err := m.nodes["n00"].Settle(late)
 	if err != nil || record.State != StateReleased {
 		t.Fatalf("an unseen attempt is %v, %v", record.State, err)
 	}
-	late := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
 	if d, _ := m.nodes["n00"].Claim(t.Context(), late); runs(d) != 0 {
 		t.Fatal("a settled attempt runs")
 	}
@@ -58,24 +57,23 @@
 	if d, _ := m.nodes["n00"].Claim(t.Context(), late); runs(d) != 1 {
 		t.Fatal("the next attempt does not run")
 	}
-	if record, _ := m.nodes["n00"].Settle(id, 2, 1); record.State != StateClaimed {
+	if record, _ := m.nodes["n00"].Settle(late); record.State != StateClaimed {
 		t.Fatalf("an attempt that may run is settled as %v", record.State)
 	}
 }
 
 // Guards against "not run" from a restarted host for an attempt that ran on its predecessor.
 func TestRestartedHostCannotSettle(t *testing.T) {
-	for _, amnesiac := range []bool{false, true} {
+	for _, off := range []rules{{}, {anyLife: true}} {
 		m := newMesh(3, Options{})
-		id := m.nodes["n00"].Mint("a", "c")
-		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c", Fresh: true}
+		r := m.fresh()
 		if d, _ := m.nodes["n00"].Claim(t.Context(), r); runs(d) != 1 {
 			t.Fatal("the attempt does not run")
 		}
 		m.start("n00", 2, 2, Options{})
-		m.nodes["n00"].host.amnesiac = amnesiac
-		if record, _ := m.nodes["n00"].Settle(id, 1, 1); (record.State == StateReleased) != amnesiac {
-			t.Errorf("amnesiac %v: an attempt that ran is settled as %v", amnesiac, record.State)
+		m.setRules(off)
+		if record, _ := m.nodes["n00"].Settle(r); (record.State == StateReleased) != off.anyLife {
+			t.Errorf("%+v: an attempt that ran is settled as %v", off, record.State)
 		}
 	}
 }
@@ -123,9 +121,7 @@
 	d := callerID(testNow, rand.New(rand.NewPCG(6, 6)))
 	node := m.nodes["n02"]
 	delete(m.nodes, "n02")
-	proceed, _ := m.claim(t, "n00", d.String()).(Proceed)
-	r := Request{ID: d.String(), Account: "a", Call: "c", Sequence: proceed.Sequence}
-	_ = m.nodes["n00"].Complete(t.Context(), r, Answer{Status: 200, Body: []byte("x")})
+	m.finish(t, "n00", d.String(), "x")
 	m.nodes["n02"] = node
 	if err := m.nodes["n01"].HandOver(t.Context()); err != nil {
 		t.Fatal(err)
@@ -141,11 +137,11 @@
 func answerStaysWithItsAccount(t *testing.T) {
 	m := newMesh(3, Options{})
 	id := callerID(testNow, rand.New(rand.NewPCG(8, 8))).String()
-	proceed, _ := m.claim(t, "n00", id).(Proceed)
-	r := Request{ID: id, Account: "a", Call: "c", Sequence: proceed.Sequence}
-	_ = m.nodes["n00"].Complete(t.Context(), r, Answer{Status: 200})
+	m.finish(t, "n00", id, "secret")
 	for _, host := range []string{"n00", "n01"} {
-		decision, _ := m.nodes[host].Claim(t.Context(), Request{ID: id, Incarnation: 1, Account: "b", Call: "c"})
+		r := m.request(host, id)
+		r.Account = "b"
+		decision, _ := m.nodes[host].Claim(t.Context(), r)
 		refuse, ok := decision.(Refuse)
 		if !ok || refuse.Error.Outcome != classifier.OutcomeUnknown {
 			t.Errorf("at %s another account gets %+v", host, decision)
--- a/internal/deduplicator/sim_test.go
+++ b/internal/deduplicator/sim_test.go
@@ -190,7 +190,7 @@
 		return
 	}
 	p.tick()
-	if record, err := p.service.Settle(r.ID, r.Attempt, r.Incarnation); err == nil && record.State == StateReleased {
+	if record, err := p.service.Settle(r); err == nil && record.State == StateReleased {
 		s.host(second, at, shown)
 	}
 }
--- a/internal/deduplicator/store.go
+++ b/internal/deduplicator/store.go
@@ -20,6 +20,7 @@
 	unbound  bool // owners accept ids from the future
 	unmarked bool // minted ids may be claimed again
 	narrow   bool // owners allow for the skew of callers only
+	anyName  bool // owners grant claims that were meant for another node
 	anyLife  bool // hosts run attempts that were sent to their predecessor
 	one      bool // one grant is enough
 }
@@ -33,7 +34,7 @@
 const LargestCopy = 16 << 10
 
 // Claim answers a claimant. Since is the time from which this process counts as an owner; 0 means not yet. Agreed
-// says that the claimant and this owner name the same owners for the id.
+// says that the claim is for this node and that the claimant and this owner name the same owners for the id.
 func (o *Store) Claim(now, since timekeeper.Millis, agreed bool, r *Record) ClaimReply {
 	birth := r.ID.Birth()
 	if birth > now+Skew && !o.rules.unbound {
@@ -45,13 +46,14 @@
 		return ClaimReply{Verdict: VerdictExpired}
 	}
 	e := s.find(r.ID)
-	if e != nil && e.state == StateClaimed && s.same(e, r) && e.sequence == r.Sequence {
+	agreed = agreed || o.rules.anySet
+	repeated := e != nil && e.state == StateClaimed && s.same(e, r) && e.sequence == r.Sequence
+	switch {
+	case repeated && agreed:
 		return ClaimReply{Verdict: VerdictGranted}
-	}
-	if e != nil && e.state != StateReleased {
+	case e != nil && e.state != StateReleased && !repeated:
 		return ClaimReply{Verdict: VerdictConflict, Record: s.record(e)}
-	}
-	if !o.certain(birth, since) || !agreed && !o.rules.anySet || o.late(s, e, r) {
+	case !agreed, !o.certain(birth, since), o.late(s, e, r):
 		return ClaimReply{Verdict: VerdictUncertain}
 	}
 	return ClaimReply{Verdict: o.grant(s, e, r)}
--- a/internal/deduplicator/store_test.go
+++ b/internal/deduplicator/store_test.go
@@ -94,17 +94,20 @@
 	})
 }
 
-// decode reads a message as a connection does, with a decoder of its own. Decoders that msgpack.Unmarshal shares keep
-// ever larger buffers after truncated messages.
-func decode(data []byte, message any) error {
-	return msgpack.NewDecoder(bytes.NewReader(data)).Decode(message)
+// feed passes a message to its method as a connection does, with a decoder of its own. Decoders that msgpack.Unmarshal
+// shares keep ever larger buffers after truncated messages.
+func feed[A, R any](data []byte, method func(*A, *R) error) {
+	var arguments A
+	if msgpack.NewDecoder(bytes.NewReader(data)).Decode(&arguments) == nil {
+		_ = method(&arguments, new(R))
+	}
 }
 
 // Guards against messages that crash an owner or get past its bounds.
 func FuzzMessages(f *testing.F) {
 	r := Record{ID: callerID(testNow, rand.New(rand.NewPCG(1, 1))), State: StateClaimed, Host: "h", Sequence: 1}
 	for _, message := range []any{
-		ClaimArguments{Format: Format, Record: r},
+		ClaimArguments{Format: Format, Owner: "n00", Record: r},
 		ReleaseArguments{Format: Format, Record: r},
 		CompleteArguments{Format: Format, Records: Records{r}},
 		LookupArguments{Format: Format, ID: r.ID},
@@ -118,22 +121,10 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := newMesh(1, Options{Bytes: 1 << 16})
 		receiver := &Receiver{service: m.nodes["n00"]}
-		var claim ClaimArguments
-		if decode(data, &claim) == nil {
-			_ = receiver.Claim(&claim, &ClaimReply{})
-		}
-		var release ReleaseArguments
-		if decode(data, &release) == nil {
-			_ = receiver.Release(&release, &Empty{})
-		}
-		var done CompleteArguments
-		if decode(data, &done) == nil {
-			_ = receiver.Complete(&done, &Empty{})
-		}
-		var lookup LookupArguments
-		if decode(data, &lookup) == nil {
-			_ = receiver.Lookup(&lookup, &LookupReply{})
-		}
+		feed(data, receiver.Claim)
+		feed(data, receiver.Release)
+		feed(data, receiver.Complete)
+		feed(data, receiver.Lookup)
 		if m.nodes["n00"].Bytes() > 1<<16 {
 			t.Fatal("memory is over its bound")
 		}
@@ -195,8 +186,7 @@
 	m, random := newMesh(139, Options{Bytes: 1 << 28}), rand.New(rand.NewPCG(1, 1))
 	b.ReportAllocs()
 	for b.Loop() {
-		id := callerID(m.clock.Clock().Now(), random).String()
-		r := Request{ID: id, Attempt: 1, Incarnation: 1, Account: "a", Call: "c"}
+		r := m.request("n00", callerID(m.clock.Clock().Now(), random).String())
 		if d, _ := m.nodes["n00"].Claim(b.Context(), r); runs(d) != 1 {
 			b.Fatalf("refused: %+v", d)
 		}
@@ -221,7 +211,7 @@
 		Sequence: 100_000, Attempt: 1, Account: "ochre", Call: "weigh",
 	}
 	for b.Loop() {
-		request, _ := msgpack.Marshal(&ClaimArguments{Format: Format, Owners: 1 << 60, Record: r})
+		request, _ := msgpack.Marshal(&ClaimArguments{Format: Format, Owner: "vereda-alta-17", Owners: 1 << 60, Record: r})
 		reply, _ := msgpack.Marshal(&ClaimReply{Format: Format, Verdict: VerdictGranted})
 		b.ReportMetric(float64(len(request)), "request-B")
 		b.ReportMetric(float64(len(reply)), "reply-B")
