--- a/internal/deduplicator/host.go
+++ b/internal/deduplicator/host.go
@@ -33,7 +33,7 @@
 		if e = s.add(d); e == nil {
 			return Record{ID: d}, false
 		}
-	case e.state != StateReleased, clampAttempt(r.Attempt) <= e.attempt:
+	case e.state != StateReleased, clampAttempt(r.Attempt) <= e.settled:
 		return s.record(e), false
 	}
 	claim := Record{
@@ -52,7 +52,7 @@
 	if e == nil || e.state != StateClaimed || e.sequence != sequence {
 		return false
 	}
-	e.state, e.attempt = StateReleased, 0
+	e.state = StateReleased
 	return true
 }
 
@@ -82,9 +82,10 @@
 	return Record{ID: d}
 }
 
-// Settle returns the record of an id for an attempt whose sender lost contact. If the host has not seen the id, or its
-// attempts were all released, attempts up to this number are refused from now on, and the state is StateReleased: the
-// attempt did not run and never will. StateNone means that this could not be recorded.
+// Settle returns the record of an id for an attempt that was sent to this process and whose sender lost contact. If the
+// host has not seen the id, or its attempts were all released, attempts up to this number are refused from now on, and
+// the state is StateReleased: the attempt did not run and never will. StateNone means that there is no room to record
+// this.
 func (h *Host) Settle(now timekeeper.Millis, d ID, attempt int) Record {
 	s := h.table.lock(now, d)
 	defer s.mutex.Unlock()
@@ -99,7 +100,7 @@
 		e.state = StateReleased
 	}
 	if e.state == StateReleased {
-		e.attempt = max(e.attempt, clampAttempt(attempt))
+		e.settled = max(e.settled, clampAttempt(attempt))
 	}
 	return s.record(e)
 }
