forwarder: a restarted host node certifies nothing from before its start

Cause: an entry node that asks a restarted host node about an attempt got "not run", although the process before it may have run the attempt.

Ruled out: comparing incarnations. The tracker may raise a node's incarnation after the start, and the entry node's table may lag.

Change: a query says when the attempt was sent; a host node that started less than twice the clock skew before that answers "lost", and the entry node asks the owners or reports the outcome as unknown.

Figures: with the check off, the new test sees the request run twice.

Conclusion: "not run" is certain again after a restart.

--- a/internal/forwarder/attempts.go
+++ b/internal/forwarder/attempts.go
@@ -33,6 +33,8 @@
 	StateRunning State = "running"
 	// StateDone has its end, and the response was handed to the connection.
 	StateDone State = "done"
+	// StateLost may have been at an earlier process of the node.
+	StateLost State = "lost"
 	// StateNotRun did not run and never will.
 	StateNotRun State = "notrun"
 )
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -21,9 +21,10 @@
 	header   http.Header
 	body     *buffer
 	deadline timekeeper.Millis
-	certain  bool // the id was claimed and given back: no attempt of it ran
-	started  bool // an earlier attempt may have run
-	deaths   int  // attempts during which the upstream ended
+	sent     timekeeper.Millis // when the present attempt began
+	certain  bool              // the id was claimed and given back: no attempt of it ran
+	started  bool              // an earlier attempt may have run
+	deaths   int               // attempts during which the upstream ended
 	// Switches of mechanisms, set by tests only.
 	deliverShort, takeAny bool
 	inherited             bool // the request is part of a retry at an earlier node
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -177,6 +177,7 @@
 	if remaining <= 2*reserve {
 		return failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
 	}
+	c.sent = e.Clock.Now()
 	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
 	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
 	watch := e.watcher.begin(c, member.Peer, cancel)
--- a/internal/forwarder/failure_test.go
+++ b/internal/forwarder/failure_test.go
@@ -272,3 +272,28 @@
 		}
 	})
 }
+
+// Guards against a restarted host node that certifies as not run what the process before it ran.
+func TestRestartedHostNodeIsUncertain(t *testing.T) {
+	fresh := func(o *Options) { o.Coordinator = nil }
+	for _, off := range []bool{false, true} {
+		inBubble(t, fresh, noLink, []faker.UpstreamOptions{taking(200), taking(200)}, func(t *testing.T, m *mesh) {
+			time.AfterFunc(100*time.Millisecond, func() {
+				for i, host := range m.hosts {
+					restarted := NewHost(host.Options)
+					restarted.trustRestart = off
+					m.processes[i].Store(restarted)
+					m.links[i].Cut()
+				}
+			})
+			got := m.send(t.Context(), http.MethodPost, "/book", "")
+			runs := m.runs(got.Header().Get(headerID))
+			if twice := runs > 1; twice != off {
+				t.Errorf("switch %v: %d runs, outcome %s", off, runs, outcomeOf(got))
+			}
+			if !off && outcomeOf(got) != classifier.OutcomeUnknown {
+				t.Errorf("outcome %s", outcomeOf(got))
+			}
+		})
+	}
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -17,9 +17,10 @@
 	transport *http.Transport
 	attempts  *attempts
 	reported  deathCount
+	started   timekeeper.Millis
 
 	// Switches of mechanisms, set by tests only.
-	noFence bool
+	noFence, trustRestart bool
 }
 
 // NewHost returns the handler of POST /forward.
@@ -29,6 +30,7 @@
 	}
 	return &Host{
 		Options: options, transport: newTransport(options.Dial, options.Connections), attempts: newAttempts(),
+		started: options.Clock.Now(),
 	}
 }
 
--- a/internal/forwarder/receiver.go
+++ b/internal/forwarder/receiver.go
@@ -18,11 +18,12 @@
 	lookupTimeout timekeeper.Millis = 100
 )
 
-// Query names an attempt. Deadline is in ms since the Unix epoch by the clock of the entry node.
+// Query names an attempt. Sent and Deadline are in ms since the Unix epoch by the clock of the entry node.
 type Query struct {
 	ID       string            `msgpack:"i"`
 	Token    uint64            `msgpack:"t"`
 	Attempt  int               `msgpack:"a"`
+	Sent     timekeeper.Millis `msgpack:"s"`
 	Deadline timekeeper.Millis `msgpack:"d"`
 }
 
@@ -73,8 +74,7 @@
 		if !validID(q.ID) || q.Deadline > now+24*60*timekeeper.Minute {
 			return classifier.New(classifier.CodePeerInvalid, "forwarder", "a query is out of range")
 		}
-		state, code := c.host.attempts.look(now, attemptKey{q.ID, q.Token, q.Attempt}, q.Deadline, arguments.Fence)
-		reply.Findings = append(reply.Findings, Finding{State: state, Code: code})
+		reply.Findings = append(reply.Findings, c.host.find(now, &q, arguments.Fence))
 	}
 	if arguments.Answer && len(reply.Findings) == 1 && reply.Findings[0].State == StateDone {
 		reply.Answer = c.host.kept(arguments.Queries[0].ID)
@@ -82,6 +82,17 @@
 	return nil
 }
 
+// find returns the state of one attempt. A process that started after the attempt was sent cannot tell whether one
+// before it ran the attempt. The difference of two clocks counts as part of that time.
+func (h *Host) find(now timekeeper.Millis, q *Query, fence bool) Finding {
+	state, code := h.attempts.look(now, attemptKey{q.ID, q.Token, q.Attempt}, q.Deadline, fence)
+	absent := state == StateAbsent || state == StateNotRun && code == classifier.CodeUpstreamUnreached
+	if absent && q.Sent <= h.started+2*maxSkew && !h.trustRestart {
+		return Finding{State: StateLost, Code: classifier.CodeOutcomeUnknown}
+	}
+	return Finding{State: state, Code: code}
+}
+
 // kept returns the answer that this node kept for an id, or nil.
 func (h *Host) kept(id string) *deduplicator.Answer {
 	if h.Coordinator == nil {
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -43,6 +43,8 @@
 			return failed(classifier.Refuse(finding.Code, c.job.Call, "the host node did not start the attempt"))
 		case StateDone:
 			return finished(c, &reply, finding, failure)
+		case StateLost:
+			return e.lookup(ctx, c, member, failure)
 		case StateAbsent, StateQueued, StateRunning:
 			pause(ctx, resolvePause)
 		}
@@ -92,7 +94,7 @@
 }
 
 func (c *call) query() Query {
-	return Query{ID: c.job.ID, Token: c.job.Token, Attempt: c.job.Attempt, Deadline: c.deadline}
+	return Query{ID: c.job.ID, Token: c.job.Token, Attempt: c.job.Attempt, Sent: c.sent, Deadline: c.deadline}
 }
 
 func pause(ctx context.Context, span timekeeper.Millis) {
