--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -30,11 +30,12 @@
 
 // Options are the limits of a Client.
 type Options struct {
-	URL     string                                                               // base address, such as http://127.0.0.1:7000
-	Rate    float64                                                              // calls per second
-	Burst   int                                                                  // calls that may be made at once
-	Timeout timekeeper.Millis                                                    // deadline of one call, without the wait of a watch
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
+	URL     string            // base address, such as http://127.0.0.1:7000
+	Rate    float64           // calls per second
+	Burst   int               // calls that may be made at once
+	Timeout timekeeper.Millis // deadline of one call, without the wait of a watch
+	// Dial opens connections; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewClient returns a client of the object API.
--- a/tools/bench/config.go
+++ b/tools/bench/config.go
@@ -124,8 +124,8 @@
 	if err != nil {
 		return err
 	}
-	spans := fleet.await(version, begun, 3*convergenceLimit, nil)
-	m.report.add("design", "cold-start", size, "ready_max_ms", slices.Max(spans))
+	spans := fleet.await(version, begun, 3*convergenceLimit)
+	m.report.add(systemDesign, "cold-start", size, "ready_max_ms", slices.Max(spans))
 	return nil
 }
 
@@ -158,11 +158,12 @@
 	if failure != nil {
 		return failure
 	}
-	m.convergence("design", scenario, size, spans)
+	m.convergence(systemDesign, scenario, size, spans)
 	return nil
 }
 
-// change submits one change through the first member and returns the times to convergence of the members that keep accepts.
+// change submits one change through the first member and returns the times to convergence of the members that keep
+// accepts.
 func (m *configMeasure) change(
 	ctx context.Context, fleet *Fleet, keep func(*fleetMember) bool,
 ) ([]float64, error) {
@@ -198,7 +199,7 @@
 	slices.Sort(spans)
 	m.report.add(system, scenario, size, "convergence_p50_ms", quantile(spans, 0.5))
 	m.report.add(system, scenario, size, "convergence_p99_ms", quantile(spans, 0.99))
-	if system == "design" {
+	if system == systemDesign {
 		m.report.atMost(system, scenario, size, "convergence_max_ms", quantile(spans, 1), convergenceTarget)
 		return
 	}
--- a/tools/bench/failures.go
+++ b/tools/bench/failures.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	m.convergence("design", "mass-kill", size, spans)
+	m.convergence(systemDesign, "mass-kill", size, spans)
 	if err := wait(ctx, m.span(6000)); err != nil {
 		return err
 	}
@@ -52,10 +52,10 @@
 			return err
 		}
 	}
-	spans = fleet.await(version, begun, convergenceLimit, nil)
+	spans = fleet.await(version, begun, convergenceLimit)
 	close(stop)
-	m.convergence("design", "mass-return", size, spans)
-	m.report.add("design", "mass-return", size, "platform_calls_peak", float64(<-peak))
+	m.convergence(systemDesign, "mass-return", size, spans)
+	m.report.add(systemDesign, "mass-return", size, "platform_calls_peak", float64(<-peak))
 	return wait(ctx, m.span(3000))
 }
 
@@ -67,14 +67,14 @@
 	if err != nil {
 		return err
 	}
-	m.convergence("design", "cut-others", size, spans)
+	m.convergence(systemDesign, "cut-others", size, spans)
 	if err := wait(ctx, m.span(8000)); err != nil {
 		return err
 	}
 	version := fleet.members[0].node.Follower.ActiveVersion()
 	healed := time.Now()
 	fleet.Topology.Cut(zone, false)
-	m.convergence("design", "cut-healed", size, fleet.await(version, healed, convergenceLimit, nil))
+	m.convergence(systemDesign, "cut-healed", size, fleet.await(version, healed, convergenceLimit))
 	return wait(ctx, m.span(3000))
 }
 
@@ -90,11 +90,11 @@
 	if err != nil {
 		return err
 	}
-	m.convergence("design", "paused-relay", size, spans)
+	m.convergence(systemDesign, "paused-relay", size, spans)
 	version := fleet.members[0].node.Follower.ActiveVersion()
 	healed := time.Now()
 	fleet.Topology.Pause(name, false)
-	m.convergence("design", "paused-healed", size, fleet.await(version, healed, convergenceLimit, nil))
+	m.convergence(systemDesign, "paused-healed", size, fleet.await(version, healed, convergenceLimit))
 	return nil
 }
 
@@ -112,8 +112,8 @@
 			return err
 		}
 	}
-	spans := fleet.await(version, begun, convergenceLimit, nil)
-	m.convergence("design", "outage-restarts", size, spans)
+	spans := fleet.await(version, begun, convergenceLimit)
+	m.convergence(systemDesign, "outage-restarts", size, spans)
 	if err := wait(ctx, m.span(60000)-m.span(10000)-time.Since(begun)); err != nil {
 		return err
 	}
@@ -126,12 +126,12 @@
 		return err
 	}
 	accepted := fleet.Heads.last().Sub(healed)
-	m.report.add("design", "outage-healed", size, "accepted_after_ms", float64(accepted.Milliseconds()))
-	m.convergence("design", "outage-healed", size, spans)
+	m.report.add(systemDesign, "outage-healed", size, "accepted_after_ms", float64(accepted.Milliseconds()))
+	m.convergence(systemDesign, "outage-healed", size, spans)
 	if err := wait(ctx, m.span(3000)); err != nil {
 		return err
 	}
 	close(stop)
-	m.report.add("design", "outage-healed", size, "platform_calls_peak", float64(<-peak))
+	m.report.add(systemDesign, "outage-healed", size, "platform_calls_peak", float64(<-peak))
 	return nil
 }
--- a/tools/bench/fleet.go
+++ b/tools/bench/fleet.go
@@ -170,12 +170,10 @@
 	return result.Version, err
 }
 
-// await waits until every running node that keep accepts has a version in force and returns how long after since the
-// last poll saw it on each, in ms. Nodes that do not reach it within limit count with limit.
-func (f *Fleet) await(
-	version uint64, since time.Time, limit timekeeper.Millis, keep func(*fleetMember) bool,
-) []float64 {
-	return f.watch(version, limit, keep).spans(since)
+// await waits until every running node has a version in force and returns how long after since each had it, in ms.
+// Nodes that do not reach it within limit count with limit.
+func (f *Fleet) await(version uint64, since time.Time, limit timekeeper.Millis) []float64 {
+	return f.watch(version, limit, nil).spans(since)
 }
 
 // watch starts to note when each running node that keep accepts has a version in force.
--- a/tools/bench/gauge.go
+++ b/tools/bench/gauge.go
@@ -40,11 +40,11 @@
 	_ = action()
 	after := read(fleet.Topology, fleet.Store)
 	close(stop)
-	m.spent("design", scenario, size, before, after)
+	m.spent(systemDesign, scenario, size, before, after)
 	if os.Getenv("BENCH_CALLS") != "" {
 		fmt.Fprintln(os.Stderr, scenario, size, fleet.Store.Calls())
 	}
-	m.report.add("design", scenario, size, "platform_calls_peak", float64(<-peak))
+	m.report.add(systemDesign, scenario, size, "platform_calls_peak", float64(<-peak))
 }
 
 // spent reports the difference between two readings per node and second.
@@ -57,7 +57,7 @@
 	m.report.add(system, scenario, size, "bytes_within", within)
 	m.report.add(system, scenario, size, "bytes_between", between)
 	m.report.add(system, scenario, size, "platform_calls", float64(after.calls-before.calls)/seconds)
-	if system == "design" && scenario == "changes" {
+	if system == systemDesign && scenario == "changes" {
 		m.report.atMost(system, scenario, size, "bytes_total", within+between, bytesTarget)
 		m.report.atMost(system, scenario, size, "cpu_share", cpu, cpuTarget)
 	} else {
@@ -72,7 +72,7 @@
 }
 
 func (m *configMeasure) memory(system string, size int, megabytes float64) {
-	if system == "design" {
+	if system == systemDesign {
 		m.report.atMost(system, "quiet", size, "memory_mb", megabytes, memoryTarget)
 		return
 	}
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -20,9 +20,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	command := &cli.Command{
-		Name:     "bench",
-		Usage:    "stand-ins and measurements for jasmineproxy",
-		Commands: []*cli.Command{platformCommand(), upstreamCommand(), callerCommand(), nodeCommand(), configCommand(), requestsCommand()},
+		Name:  "bench",
+		Usage: "stand-ins and measurements for jasmineproxy",
+		Commands: []*cli.Command{
+			platformCommand(), upstreamCommand(), callerCommand(), nodeCommand(), configCommand(), requestsCommand(),
+		},
 	}
 	if err := command.Run(ctx, arguments); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/tools/bench/mesh.go
+++ b/tools/bench/mesh.go
@@ -51,16 +51,19 @@
 
 // tenantServers are the servers of each service by data centre, as the tenants run them today.
 var tenantServers = []struct {
-	zone     string
-	services []string
+	service string
+	zones   []string // one entry per server
 }{
-	{"vereda-alta", []string{"libro-socios", "libro-socios", "libro-socios", "caja-compras"}},
-	{"vereda-media", []string{"libro-socios", "libro-socios", "libro-socios", "caja-compras"}},
-	{"vereda-baja", []string{"libro-socios", "libro-socios", "libro-socios", "caja-compras"}},
-	{"bc-south-a", []string{"storefront", "storefront", "storefront", "orderdesk"}},
-	{"bc-south-b", []string{"storefront", "storefront", "orderdesk"}},
-	{"bc-south-c", []string{"storefront", "storefront", "orderdesk"}},
-	{"bc-south-d", []string{"storefront", "storefront", "orderdesk"}},
+	{"libro-socios", []string{
+		"vereda-alta", "vereda-media", "vereda-baja", "vereda-alta", "vereda-media", "vereda-baja",
+		"vereda-alta", "vereda-media", "vereda-baja",
+	}},
+	{"caja-compras", []string{"vereda-alta", "vereda-media", "vereda-baja"}},
+	{floodedService, []string{
+		"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d", "bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d",
+		"bc-south-a",
+	}},
+	{"orderdesk", []string{"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d"}},
 }
 
 // newMesh starts all processes of a system ("design" or "naive") and waits until they serve.
@@ -92,17 +95,17 @@
 		return "127.0.0.1:" + strconv.Itoa(port)
 	}
 	m.layout = layout{Platform: next(), Links: links, Places: make(map[string]layoutMember), Sources: sources}
-	for _, zone := range tenantServers {
-		for _, service := range zone.services {
+	for _, servers := range tenantServers {
+		for _, zone := range servers.zones {
 			instance := Instance{
-				Name: fmt.Sprintf("%s-%d", service, len(m.layout.Instances)), Service: service, Zone: zone.zone,
+				Name: fmt.Sprintf("%s-%d", servers.service, len(m.layout.Instances)), Service: servers.service, Zone: zone,
 				Caller: next(), Peer: next(), Admin: next(), Upstream: next(),
 			}
 			m.layout.Instances = append(m.layout.Instances, instance)
-			m.layout.Places[instance.Peer] = layoutMember{Name: instance.Name, Zone: zone.zone}
+			m.layout.Places[instance.Peer] = layoutMember{Name: instance.Name, Zone: zone}
 		}
 	}
-	m.layout.Places[m.layout.Platform] = layoutMember{Name: "platform", Zone: tenantServers[0].zone}
+	m.layout.Places[m.layout.Platform] = layoutMember{Name: "platform", Zone: tenantServers[0].zones[0]}
 }
 
 func (m *Mesh) path(name string) string {
@@ -121,7 +124,8 @@
 	if err != nil {
 		return err
 	}
-	if m.platform, err = startProcess(ctx, m.path("platform.log"), self, "platform", "--listen", m.layout.Platform); err != nil {
+	m.platform, err = startProcess(ctx, m.path("platform.log"), self, "platform", "--listen", m.layout.Platform)
+	if err != nil {
 		return err
 	}
 	for _, instance := range m.layout.Instances {
@@ -129,7 +133,7 @@
 			return err
 		}
 	}
-	if system == "naive" {
+	if system == systemNaive {
 		return wait(ctx, time.Second)
 	}
 	return m.publish(ctx)
@@ -158,7 +162,7 @@
 		return err
 	}
 	arguments := []string{self, "node", "--settings", path, "--layout", m.path("layout.json")}
-	if system == "naive" {
+	if system == systemNaive {
 		arguments = append(arguments, "--naive")
 	}
 	node, err := startProcess(ctx, m.path(instance.Name+".log"), arguments...)
@@ -276,7 +280,7 @@
 			}
 		}
 	}
-	if system == "naive" {
+	if system == systemNaive {
 		return wait(ctx, 3*time.Second)
 	}
 	return m.settle(ctx)
--- a/tools/bench/node.go
+++ b/tools/bench/node.go
@@ -87,7 +87,7 @@
 				return err
 			}
 			dial := l.topology(ctx).Dialer(settings.Zone, settings.Name)
-			if c.Bool("naive") {
+			if c.Bool(systemNaive) {
 				return runNaive(ctx, settings, l, dial)
 			}
 			node, err := runner.New(settings, runner.Edges{Clock: timekeeper.System(), Dial: dial, Log: os.Stderr})
--- a/tools/bench/outcome.go
+++ b/tools/bench/outcome.go
@@ -10,10 +10,10 @@
 	system string, s *scenario, tally *Tally, targets []Target, runs map[string]int, span time.Duration,
 ) {
 	nodes := 0
-	for _, zone := range tenantServers {
-		nodes += len(zone.services)
+	for _, group := range tenantServers {
+		nodes += len(group.zones)
 	}
-	groups := map[string]func(*Target) bool{"all": func(t *Target) bool { return true }}
+	groups := map[string]func(*Target) bool{"all": func(*Target) bool { return true }}
 	for i := range targets {
 		one := targets[i]
 		groups["rank "+one.Rank] = func(t *Target) bool { return t.Rank == one.Rank }
@@ -30,7 +30,7 @@
 	}
 	v := tally.verify(runs)
 	zero := func(metric string, count int) {
-		if system == "design" {
+		if system == systemDesign {
 			m.report.atMost(system, s.name, nodes, metric, float64(count), 0)
 			return
 		}
@@ -49,7 +49,7 @@
 	add("goodput_per_s", float64(sum.InTime)/span.Seconds())
 	add("in_time_share", float64(sum.InTime)/sent)
 	p99 := float64(sum.Added.ValueAtQuantile(99)) / 1000
-	if name == "all" && s.name == "load-0.7-near" && system == "design" {
+	if name == "all" && s.name == "load-0.7-near" && system == systemDesign {
 		m.report.atMost(system, s.name, nodes, "all added_p99_ms", p99, addedTarget)
 	} else {
 		add("added_p99_ms", p99)
@@ -62,12 +62,12 @@
 
 // floods reports what the stated targets say of floods on storefront.
 func (m *requestMeasure) floods(system string, s *scenario, nodes int, tally *Tally, span time.Duration) {
-	all := tally.summarize(func(t *Target) bool { return t.Service == "storefront" })
+	all := tally.summarize(func(t *Target) bool { return t.Service == floodedService })
 	goodput := float64(all.InTime) / span.Seconds()
 	if s.name == "load-1.0" {
 		m.base = goodput
 	}
-	if s.flood == nil || system != "design" {
+	if s.flood == nil || system != systemDesign {
 		return
 	}
 	if m.base > 0 {
--- a/tools/bench/process.go
+++ b/tools/bench/process.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/exec"
 	"syscall"
-	"time"
 )
 
 // process is one process of a measurement. It is ended by its id.
@@ -56,14 +55,3 @@
 		return true
 	}
 }
-
-// stop asks the process to end, and kills it after a while.
-func (p *process) stop(patience time.Duration) {
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(patience):
-		p.signal(syscall.SIGKILL)
-		<-p.done
-	}
-}
--- a/tools/bench/requests.go
+++ b/tools/bench/requests.go
@@ -34,7 +34,7 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			m := &requestMeasure{quick: c.Bool("quick"), only: c.String("only"), sources: c.String("sources"), report: &Report{}}
-			for _, system := range []string{"design", "naive"} {
+			for _, system := range []string{systemDesign, systemNaive} {
 				if err := m.run(ctx, system); err != nil {
 					return fmt.Errorf("%s: %w", system, err)
 				}
@@ -183,11 +183,9 @@
 // capacityOf returns the runs per second that all upstreams of a service can make.
 func capacityOf(view *compiler.View, service string) float64 {
 	servers := 0
-	for _, zone := range tenantServers {
-		for _, name := range zone.services {
-			if name == service {
-				servers++
-			}
+	for _, group := range tenantServers {
+		if group.service == service {
+			servers += len(group.zones)
 		}
 	}
 	return float64(servers*view.Service(service).Slots) * 1000 / meanWork
