--- a/tools/bench/fleet.go
+++ b/tools/bench/fleet.go
@@ -25,7 +25,7 @@
 const firstPort = 20000
 
 // fleetZones are the data centres of a measured fleet; the platform is in the first one.
-var fleetZones = []string{"vereda-alta", "vereda-media", "vereda-baja"}
+var fleetZones = boyaca
 
 // Fleet is a platform stand-in with nodes in one process, joined by links with delay.
 type Fleet struct {
--- a/tools/bench/mesh.go
+++ b/tools/bench/mesh.go
@@ -49,21 +49,22 @@
 	watched   sync.WaitGroup
 }
 
-// tenantServers are the servers of each service by data centre, as the tenants run them today.
+// Data centres of the tenants.
+var (
+	boyaca  = []string{"vereda-alta", "vereda-media", "vereda-baja"}
+	bcSouth = []string{"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d"}
+)
+
+// tenantServers are the servers of each service, spread over the data centres, as the tenants run them today.
 var tenantServers = []struct {
 	service string
-	zones   []string // one entry per server
+	servers int
+	zones   []string
 }{
-	{"libro-socios", []string{
-		"vereda-alta", "vereda-media", "vereda-baja", "vereda-alta", "vereda-media", "vereda-baja",
-		"vereda-alta", "vereda-media", "vereda-baja",
-	}},
-	{"caja-compras", []string{"vereda-alta", "vereda-media", "vereda-baja"}},
-	{floodedService, []string{
-		"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d", "bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d",
-		"bc-south-a",
-	}},
-	{"orderdesk", []string{"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d"}},
+	{"libro-socios", 9, boyaca},
+	{"caja-compras", 3, boyaca},
+	{floodedService, 9, bcSouth},
+	{"orderdesk", 4, bcSouth},
 }
 
 // newMesh starts all processes of a system ("design" or "naive") and waits until they serve.
@@ -95,10 +96,11 @@
 		return "127.0.0.1:" + strconv.Itoa(port)
 	}
 	m.layout = layout{Platform: next(), Links: links, Places: make(map[string]layoutMember), Sources: sources}
-	for _, servers := range tenantServers {
-		for _, zone := range servers.zones {
+	for _, group := range tenantServers {
+		for i := range group.servers {
+			zone := group.zones[i%len(group.zones)]
 			instance := Instance{
-				Name: fmt.Sprintf("%s-%d", servers.service, len(m.layout.Instances)), Service: servers.service, Zone: zone,
+				Name: fmt.Sprintf("%s-%d", group.service, len(m.layout.Instances)), Service: group.service, Zone: zone,
 				Caller: next(), Peer: next(), Admin: next(), Upstream: next(),
 			}
 			m.layout.Instances = append(m.layout.Instances, instance)
--- a/tools/bench/outcome.go
+++ b/tools/bench/outcome.go
@@ -11,7 +11,7 @@
 ) {
 	nodes := 0
 	for _, group := range tenantServers {
-		nodes += len(group.zones)
+		nodes += group.servers
 	}
 	groups := map[string]func(*Target) bool{"all": func(*Target) bool { return true }}
 	for i := range targets {
--- a/tools/bench/requests.go
+++ b/tools/bench/requests.go
@@ -185,7 +185,7 @@
 	servers := 0
 	for _, group := range tenantServers {
 		if group.service == service {
-			servers += len(group.zones)
+			servers += group.servers
 		}
 	}
 	return float64(servers*view.Service(service).Slots) * 1000 / meanWork
