bench: wait for stopped processes, work figures out at the target size

Cause: a scenario that stops nodes started them again before they had ended, so one stayed down. Ruled out: a longer wait; the processes that were told to end are known. Change: restore waits for them; upstreams are measured after their cold start; bench capacity fits slopes. Before: stop-third failed with a node that was not ready. After: not measured yet, the machine was busy.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN ?= $(shell go env GOPATH)/bin
 GOLANGCI := $(GOBIN)/golangci-lint
 
-.PHONY: build tools format format-check lint test
+.PHONY: build tools format format-check lint test demo measure-config measure-requests capacity
 
 build:
 	go build -o bin/jasmineproxy .
@@ -26,3 +26,15 @@
 test:
 	go vet ./...
 	go test -race -count=1 ./...
+
+demo: build
+	scripts/demo
+
+measure-config: build
+	bin/bench config $(if $(QUICK),--quick)
+
+measure-requests: build
+	bin/bench requests $(if $(QUICK),--quick)
+
+capacity: build
+	bin/bench capacity
--- /dev/null
+++ b/tools/bench/capacity.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Size of the target.
+const (
+	targetNodes   = 3200
+	targetZones   = 23
+	targetPerZone = targetNodes / targetZones
+	relaysPerZone = 2
+	measuredZones = 3
+	targetReads   = 2000 // platform reads a second
+)
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "work measured figures out at the target size, as a Markdown table",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "config", Value: "out/measure-config.json"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			content, err := os.ReadFile(c.String("config"))
+			if err != nil {
+				return err
+			}
+			var report Report
+			if err := json.Unmarshal(content, &report); err != nil {
+				return err
+			}
+			return writeCapacity(os.Stdout, &report)
+		},
+	}
+}
+
+// line is a least-squares fit y = base + slope*x. Residual is the root mean square of the differences.
+type line struct {
+	base, slope, residual float64
+}
+
+func fit(xs, ys []float64) line {
+	var sumX, sumY, sumXX, sumXY float64
+	n := float64(len(xs))
+	for i, x := range xs {
+		sumX, sumY, sumXX, sumXY = sumX+x, sumY+ys[i], sumXX+x*x, sumXY+x*ys[i]
+	}
+	var l line
+	if spread := n*sumXX - sumX*sumX; spread > 0 {
+		l.slope = (n*sumXY - sumX*sumY) / spread
+	}
+	l.base = (sumY - l.slope*sumX) / n
+	for i, x := range xs {
+		difference := ys[i] - l.base - l.slope*x
+		l.residual += difference * difference / n
+	}
+	l.residual = math.Sqrt(l.residual)
+	return l
+}
+
+func (l line) at(x float64) float64 {
+	return l.base + l.slope*x
+}
+
+// estimate is one figure at the target size.
+type estimate struct {
+	name, scenario, metric string
+	scale                  func(nodes, value float64) float64 // turns a measured value into the fitted one
+	variable               func(nodes float64) float64        // what the fitted value depends on
+	at                     float64                            // the variable at the target size
+	formula                string
+	limit                  float64 // 0 for none
+}
+
+// estimates lists what is worked out from the measurement. The measured 10 changes a minute are 4 times those of the
+// target, so that figures with changes are upper bounds.
+func estimates() []estimate {
+	plain := func(_, value float64) float64 { return value }
+	perZone := func(nodes float64) float64 { return nodes / measuredZones }
+	total := func(nodes float64) float64 { return nodes }
+	perRelay := func(nodes, value float64) float64 { return value * nodes / (measuredZones * relaysPerZone) }
+	return []estimate{
+		{"node: bytes/s inside the data centre", "changes", "bytes_within", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", bytesTarget},
+		{"relaying node: bytes/s between data centres", "changes", "bytes_between", perRelay, total, targetNodes,
+			"a + b · nodes, bytes between data centres over 6 relays", bytesTarget},
+		{"node: share of a core, quiet", "quiet", "cpu_share", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", cpuTarget},
+		{"node: share of a core, changes", "changes", "cpu_share", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", cpuTarget},
+		{"node: memory in MB", "quiet", "memory_mb", plain, total, targetNodes, "a + b · nodes", memoryTarget},
+		{"platform: calls/s of one data centre, quiet", "quiet", "platform_calls",
+			func(_, value float64) float64 { return value / measuredZones }, perZone, targetPerZone,
+			"a + b · nodes per data centre", 0},
+		{"platform: calls/s, quiet", "quiet", "platform_calls",
+			func(_, value float64) float64 { return value / measuredZones * targetZones }, perZone, targetPerZone,
+			"23 · (a + b · nodes per data centre)", targetReads},
+		{"platform: calls/s, changes", "changes", "platform_calls",
+			func(_, value float64) float64 { return value / measuredZones * targetZones }, perZone, targetPerZone,
+			"23 · (a + b · nodes per data centre)", targetReads},
+	}
+}
+
+func writeCapacity(out io.Writer, report *Report) error {
+	fmt.Fprintln(out, "| figure | formula | a | b | residual | at the target size | limit |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|")
+	for _, e := range estimates() {
+		var xs, ys []float64
+		for _, row := range report.Rows {
+			if row.System == systemDesign && row.Scenario == e.scenario && row.Metric == e.metric {
+				nodes := float64(row.Nodes)
+				xs, ys = append(xs, e.variable(nodes)), append(ys, e.scale(nodes, row.Value))
+			}
+		}
+		if len(xs) < 2 {
+			return fmt.Errorf("the report has %d values of %s %s", len(xs), e.scenario, e.metric)
+		}
+		l := fit(xs, ys)
+		limit := "-"
+		if e.limit > 0 {
+			limit = fmt.Sprintf("%.4g", e.limit)
+		}
+		fmt.Fprintf(out, "| %s | %s | %.4g | %.4g | %.2g | **%.4g** | %s |\n",
+			e.name, e.formula, l.base, l.slope, l.residual, l.at(e.at), limit)
+	}
+	return nil
+}
--- a/tools/bench/mesh.go
+++ b/tools/bench/mesh.go
@@ -32,7 +32,7 @@
 	// meanWork is the mean time of one run on an upstream, in ms.
 	meanWork = 80
 	// coldSpan is the time after its start in which an upstream takes twice as long.
-	coldSpan = 2000
+	coldSpan = 2 * timekeeper.Second
 	// restartSpan is how long the supervisor of an upstream takes to start it again.
 	restartSpan = time.Second
 )
@@ -46,6 +46,7 @@
 	platform  *process
 	nodes     []*process
 	upstreams []*process
+	stopping  []*process // were told to end
 	watched   sync.WaitGroup
 }
 
@@ -136,7 +137,7 @@
 		}
 	}
 	if system == systemNaive {
-		return wait(ctx, time.Second)
+		return wait(ctx, 2*coldSpan.Duration())
 	}
 	return m.publish(ctx)
 }
@@ -159,7 +160,7 @@
 	slots := m.view.Service(instance.Service).Slots
 	upstream, err := startProcess(ctx, m.path(instance.Name+"-upstream.log"), self, "upstream",
 		"--listen", instance.Upstream, "--slots", strconv.Itoa(slots), "--work", strconv.Itoa(meanWork),
-		"--cold", strconv.Itoa(coldSpan), "--recorder", m.recorder.address())
+		"--cold", strconv.Itoa(int(coldSpan)), "--recorder", m.recorder.address())
 	if err != nil {
 		return err
 	}
@@ -218,7 +219,7 @@
 			}
 		}
 	}
-	return wait(ctx, time.Second)
+	return wait(ctx, 2*coldSpan.Duration())
 }
 
 func (m *Mesh) post(ctx context.Context, url string, body []byte) error {
@@ -273,6 +274,10 @@
 // restore starts what a scenario ended and waits until it serves.
 func (m *Mesh) restore(ctx context.Context, system string) error {
 	m.watched.Wait()
+	for _, p := range m.stopping {
+		<-p.done
+	}
+	m.stopping = nil
 	for _, processes := range [][]*process{m.upstreams, m.nodes} {
 		for _, p := range processes {
 			if !p.running() {
@@ -283,7 +288,7 @@
 		}
 	}
 	if system == systemNaive {
-		return wait(ctx, 3*time.Second)
+		return wait(ctx, 2*coldSpan.Duration())
 	}
 	return m.settle(ctx)
 }
--- a/tools/bench/requests.go
+++ b/tools/bench/requests.go
@@ -195,6 +195,7 @@
 func killThird(_ context.Context, m *Mesh) error {
 	for i := 0; i < len(m.upstreams); i += 3 {
 		m.upstreams[i].signal(syscall.SIGKILL)
+		m.stopping = append(m.stopping, m.upstreams[i])
 	}
 	return nil
 }
@@ -203,6 +204,7 @@
 func stopThird(_ context.Context, m *Mesh) error {
 	for i := 0; i < len(m.nodes); i += 3 {
 		m.nodes[i].signal(syscall.SIGTERM)
+		m.stopping = append(m.stopping, m.nodes[i])
 	}
 	return nil
 }
