--- a/tools/bench/capacity.go
+++ b/tools/bench/capacity.go
@@ -86,24 +86,38 @@
 	total := func(nodes float64) float64 { return nodes }
 	perRelay := func(nodes, value float64) float64 { return value * nodes / (measuredZones * relaysPerZone) }
 	return []estimate{
-		{"node: bytes/s inside the data centre", "changes", "bytes_within", plain, perZone, targetPerZone,
-			"a + b · nodes per data centre", bytesTarget},
-		{"relaying node: bytes/s between data centres", "changes", "bytes_between", perRelay, total, targetNodes,
-			"a + b · nodes, bytes between data centres over 6 relays", bytesTarget},
-		{"node: share of a core, quiet", "quiet", "cpu_share", plain, perZone, targetPerZone,
-			"a + b · nodes per data centre", cpuTarget},
-		{"node: share of a core, changes", "changes", "cpu_share", plain, perZone, targetPerZone,
-			"a + b · nodes per data centre", cpuTarget},
-		{"node: memory in MB", "quiet", "memory_mb", plain, total, targetNodes, "a + b · nodes", memoryTarget},
-		{"platform: calls/s of one data centre, quiet", "quiet", "platform_calls",
+		{
+			"node: bytes/s inside the data centre", scenarioChanges, "bytes_within", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", bytesTarget,
+		},
+		{
+			"relaying node: bytes/s between data centres", scenarioChanges, "bytes_between", perRelay, total, targetNodes,
+			"a + b · nodes, bytes between data centres over 6 relays", bytesTarget,
+		},
+		{
+			"node: share of a core, quiet", scenarioQuiet, "cpu_share", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", cpuTarget,
+		},
+		{
+			"node: share of a core, changes", scenarioChanges, "cpu_share", plain, perZone, targetPerZone,
+			"a + b · nodes per data centre", cpuTarget,
+		},
+		{"node: memory in MB", scenarioQuiet, "memory_mb", plain, total, targetNodes, "a + b · nodes", memoryTarget},
+		{
+			"platform: calls/s of one data centre, quiet", scenarioQuiet, metricPlatformCalls,
 			func(_, value float64) float64 { return value / measuredZones }, perZone, targetPerZone,
-			"a + b · nodes per data centre", 0},
-		{"platform: calls/s, quiet", "quiet", "platform_calls",
+			"a + b · nodes per data centre", 0,
+		},
+		{
+			"platform: calls/s, quiet", scenarioQuiet, metricPlatformCalls,
 			func(_, value float64) float64 { return value / measuredZones * targetZones }, perZone, targetPerZone,
-			"23 · (a + b · nodes per data centre)", targetReads},
-		{"platform: calls/s, changes", "changes", "platform_calls",
+			"23 · (a + b · nodes per data centre)", targetReads,
+		},
+		{
+			"platform: calls/s, changes", scenarioChanges, metricPlatformCalls,
 			func(_, value float64) float64 { return value / measuredZones * targetZones }, perZone, targetPerZone,
-			"23 · (a + b · nodes per data centre)", targetReads},
+			"23 · (a + b · nodes per data centre)", targetReads,
+		},
 	}
 }
 
--- a/tools/bench/config.go
+++ b/tools/bench/config.go
@@ -92,8 +92,8 @@
 	if err := m.coldStart(ctx, fleet, size); err != nil {
 		return err
 	}
-	m.gauge(fleet, "quiet", size, func() error { return wait(ctx, m.span(9000)) })
-	if err := m.changes(ctx, fleet, "changes", size, nil); err != nil {
+	m.gauge(fleet, scenarioQuiet, size, func() error { return wait(ctx, m.span(9000)) })
+	if err := m.changes(ctx, fleet, scenarioChanges, size, nil); err != nil {
 		return err
 	}
 	if err := m.changes(ctx, fleet, "churn", size, m.churn(fleet)); err != nil {
--- a/tools/bench/gauge.go
+++ b/tools/bench/gauge.go
@@ -56,14 +56,14 @@
 	cpu := (after.cpu - before.cpu).Seconds() / per
 	m.report.add(system, scenario, size, "bytes_within", within)
 	m.report.add(system, scenario, size, "bytes_between", between)
-	m.report.add(system, scenario, size, "platform_calls", float64(after.calls-before.calls)/seconds)
-	if system == systemDesign && scenario == "changes" {
+	m.report.add(system, scenario, size, metricPlatformCalls, float64(after.calls-before.calls)/seconds)
+	if system == systemDesign && scenario == scenarioChanges {
 		m.report.atMost(system, scenario, size, "bytes_total", within+between, bytesTarget)
 		m.report.atMost(system, scenario, size, "cpu_share", cpu, cpuTarget)
 	} else {
 		m.report.add(system, scenario, size, "cpu_share", cpu)
 	}
-	if scenario == "quiet" {
+	if scenario == scenarioQuiet {
 		runtime.GC()
 		var memory runtime.MemStats
 		runtime.ReadMemStats(&memory)
@@ -73,10 +73,10 @@
 
 func (m *configMeasure) memory(system string, size int, megabytes float64) {
 	if system == systemDesign {
-		m.report.atMost(system, "quiet", size, "memory_mb", megabytes, memoryTarget)
+		m.report.atMost(system, scenarioQuiet, size, "memory_mb", megabytes, memoryTarget)
 		return
 	}
-	m.report.add(system, "quiet", size, "memory_mb", megabytes)
+	m.report.add(system, scenarioQuiet, size, "memory_mb", megabytes)
 }
 
 // peakCalls returns the highest number of platform calls in one second until stop is closed.
--- a/tools/bench/naive.go
+++ b/tools/bench/naive.go
@@ -41,7 +41,7 @@
 	if err := wait(ctx, m.span(6000)); err != nil {
 		return err
 	}
-	m.spent(systemNaive, "quiet", size, before, read(fleet.Topology, fleet.Store))
+	m.spent(systemNaive, scenarioQuiet, size, before, read(fleet.Topology, fleet.Store))
 	return m.naiveChanges(ctx, fleet, followers, size)
 }
 
@@ -71,8 +71,8 @@
 			return err
 		}
 	}
-	m.spent(systemNaive, "changes", size, before, read(fleet.Topology, fleet.Store))
-	m.convergence(systemNaive, "changes", size, spans)
+	m.spent(systemNaive, scenarioChanges, size, before, read(fleet.Topology, fleet.Store))
+	m.convergence(systemNaive, scenarioChanges, size, spans)
 	return nil
 }
 
@@ -98,18 +98,18 @@
 // compare reports figures that need several sizes or both systems.
 func (m *configMeasure) compare(sizes []int) {
 	for _, size := range sizes {
-		design := m.value(systemDesign, "changes", size, "bytes_between")
-		naive := m.value(systemNaive, "changes", size, "bytes_between")
+		design := m.value(systemDesign, scenarioChanges, size, "bytes_between")
+		naive := m.value(systemNaive, scenarioChanges, size, "bytes_between")
 		if naive > 0 {
-			m.report.atMost(systemDesign, "changes", size, "bytes_between_ratio", design/naive, betweenTarget)
+			m.report.atMost(systemDesign, scenarioChanges, size, "bytes_between_ratio", design/naive, betweenTarget)
 		}
 	}
 	first, last := sizes[0], sizes[len(sizes)-1]
-	calls := func(size int) float64 { return m.value(systemDesign, "quiet", size, "platform_calls") }
+	calls := func(size int) float64 { return m.value(systemDesign, scenarioQuiet, size, metricPlatformCalls) }
 	rise := calls(last) - calls(first)
 	// Each node added to a data centre is one of three added to the fleet.
 	slope := rise / (float64(last-first) / float64(len(fleetZones)))
-	m.report.atMost(systemDesign, "quiet", last, "platform_calls_slope", slope, slopeTarget)
+	m.report.atMost(systemDesign, scenarioQuiet, last, "platform_calls_slope", slope, slopeTarget)
 }
 
 func (m *configMeasure) value(system, scenario string, size int, metric string) float64 {
--- a/tools/bench/system.go
+++ b/tools/bench/system.go
@@ -8,3 +8,10 @@
 
 // floodedService is the service whose calls flood in the request measurement.
 const floodedService = "storefront"
+
+// Scenarios and metrics that several parts name.
+const (
+	scenarioQuiet       = "quiet"
+	scenarioChanges     = "changes"
+	metricPlatformCalls = "platform_calls"
+)
