Refuse a used operation id and test writes that take effect late

Cause: a set submitted under the id of another pending set got that set's result, and no schedule let a write take effect after it was reported as failed. Ruled out: comparing bases as well, since a repeated submission may have other bases for sources that were deleted. Before: the result of another set was returned.

--- a/internal/publisher/refusal_test.go
+++ b/internal/publisher/refusal_test.go
@@ -104,3 +104,17 @@
 		}
 	}
 }
+
+// Guards against an operator who is told the result of another operator's set.
+func TestSubmitRefusesUsedOperation(t *testing.T) {
+	platform := faker.NewPlatform()
+	p, _ := testPublisher(platform, "node-1")
+	putSet(t, platform, Set{Operation: "op-1", Edits: []Edit{{Name: "template.shop", Value: testTemplate}}})
+	_, err := submit(t, p, "op-1", Edit{Name: "template.shop", Value: testTemplate + "# other"})
+	if classifier.CodeOf(err) != classifier.CodeBadRequest {
+		t.Errorf("error is %v", err)
+	}
+	if result := mustSubmit(t, p, "op-1", Edit{Name: "template.shop", Value: testTemplate}); result.Version != 1 {
+		t.Errorf("first set is in version %d", result.Version)
+	}
+}
--- a/internal/publisher/submit.go
+++ b/internal/publisher/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
@@ -63,7 +64,7 @@
 	return result, done, err
 }
 
-// put stores the set. An object of the same name means that an earlier attempt stored it.
+// put stores the set. An object of the same name and edits means that an earlier attempt stored it.
 func (s *submission) put(ctx context.Context) error {
 	if err := s.rebase(ctx); err != nil {
 		return err
@@ -74,10 +75,27 @@
 	}
 	object := connector.Object{Kind: connector.KindSource, Name: SetPrefix + s.set.Operation, Value: content}
 	_, err = s.publisher.options.Platform.Put(ctx, object)
-	if classifier.CodeOf(err) == classifier.CodeConflict {
-		return nil
+	if classifier.CodeOf(err) != classifier.CodeConflict {
+		return err
+	}
+	stored, err := s.publisher.options.Platform.Get(ctx, object.Kind, object.Name)
+	if classifier.CodeOf(err) == classifier.CodeObjectMissing {
+		return nil // decided in the meantime
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	if other, err := decodeSet(stored); err != nil || !sameEdits(other.Edits, s.set.Edits) {
+		return classifier.New(classifier.CodeBadRequest, object.Name, "the operation id belongs to another set")
+	}
+	return nil
+}
+
+// sameEdits compares edits without their bases, which rebase may have changed.
+func sameEdits(a, b []Edit) bool {
+	return slices.EqualFunc(a, b, func(x, y Edit) bool {
+		return x.Name == y.Name && x.Value == y.Value && x.Delete == y.Delete
+	})
 }
 
 // rebase gives edits that create a source the revision of its deletion, if there was one. Deleted sources stay as
--- a/internal/publisher/world_test.go
+++ b/internal/publisher/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
@@ -36,6 +37,7 @@
 	cleaning   int  // chance of garbage collection per turn, in percent
 	off        mechanisms
 	workers    []*worker
+	late       []action // writes that were reported as failed and take effect later
 	cleaner    *Publisher
 	garbage    *collector
 	sets       []Set
@@ -121,7 +123,7 @@
 		w.workers[i] = w.startWorker()
 		return
 	}
-	reply := perform(context.Background(), w.platform, chosen.wanted)
+	reply := w.perform(context.Background(), chosen.wanted)
 	chosen.wanted = chosen.cycle.step(w.clock.Clock().Now(), reply)
 	if _, ended := chosen.wanted.(finish); ended {
 		chosen.cycle = newCycle(chosen.cycle.store, w.off)
@@ -129,6 +131,22 @@
 	}
 }
 
+// perform carries out an action, or keeps a write back and reports that the platform did not answer.
+func (w *world) perform(ctx context.Context, wanted action) event {
+	if len(w.late) > 0 && w.random.IntN(20) == 0 {
+		_ = perform(ctx, w.platform, w.late[0])
+		w.late = w.late[1:]
+	}
+	switch wanted.(type) {
+	case putObject, deleteObject:
+		if w.random.IntN(25) == 0 {
+			w.late = append(w.late, wanted)
+			return wrote{err: classifier.New(classifier.CodeUnavailable, "platform", "no answer by the deadline")}
+		}
+	}
+	return perform(ctx, w.platform, wanted)
+}
+
 // interleaved is the platform as the garbage collector sees it: publishers act between its calls.
 type interleaved struct{ world *world }
 
@@ -148,11 +166,16 @@
 }
 
 func (p interleaved) Put(ctx context.Context, object connector.Object) (uint64, error) {
-	return p.between().Put(ctx, object)
+	_ = p.between()
+	reply, _ := p.world.perform(ctx, putObject{object: object}).(wrote)
+	return reply.revision, reply.err
 }
 
 func (p interleaved) Delete(ctx context.Context, kind, name string, revision uint64) error {
-	return p.between().Delete(ctx, kind, name, revision)
+	_ = p.between()
+	object := connector.Object{Kind: kind, Name: name, Revision: revision}
+	reply, _ := p.world.perform(ctx, deleteObject{object: object}).(wrote)
+	return reply.err
 }
 
 func (p interleaved) Watch(
