Measure a naive version and mass restarts; fix a race in Leave

Cause: Leave waited on the group of all messages while others could start, which sync.WaitGroup does not allow and may end the process. An exchange whose end is lost would also have blocked its data centre.

Change: Leave counts only its own messages; an exchange is forgotten after twice its timeout. A test runs naive nodes that each watch the head and read all sections; another restarts 40 of 67 nodes at once. A benchmark measures one call.

--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -213,3 +214,28 @@
 		_ = decode(read.Body, &value)
 	})
 }
+
+// BenchmarkCall measures one call over loopback, both ends included, on a kept connection and on a new one.
+func BenchmarkCall(b *testing.B) {
+	server := NewServer(Options{})
+	if err := server.Register("Echo", &echo{}); err != nil {
+		b.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	defer web.Close()
+	defer server.Close()
+	for name, kept := range map[string]bool{"kept": true, "new": false} {
+		b.Run(name, func(b *testing.B) {
+			client := NewClient(Options{})
+			defer client.Close()
+			client.pool.closed = !kept
+			b.ReportAllocs()
+			for b.Loop() {
+				err := client.Call(b.Context(), web.Listener.Addr().String(), "Echo.Say", &text{"hello"}, &text{}, 1000)
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -1,11 +1,14 @@
 package relayer
 
 import (
+	"context"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
@@ -138,10 +141,13 @@
 			}
 			// The test's own calls: five sections, a read and a write of the head per version.
 			calls[count] = m.platformCalls() - before - versions*7
-			naive := versions * count * (1 + 5)
+			naive := naiveCalls(t, count, versions)
 			mean, highest := m.takeBytes()
 			t.Logf("%d nodes: %d platform calls in %d versions, naive %d; bytes per version: mean %d, highest %d", count,
 				calls[count], versions, naive, mean/versions, highest/versions)
+			if naive < versions*count {
+				t.Errorf("%d nodes: naive version makes only %d platform calls", count, naive)
+			}
 			// With 10 versions a minute, and with 3 KB/s left for membership.
 			if rate := highest / versions / 6; rate > 26_000 {
 				t.Errorf("%d nodes: node with the most traffic has %d bytes/s", count, rate)
@@ -152,3 +158,69 @@
 		t.Errorf("platform calls by nodes: %v", calls)
 	}
 }
+
+// naiveCalls returns the platform calls of nodes that each watch the head and read every section at each change.
+func naiveCalls(t *testing.T, count, versions int) int {
+	t.Helper()
+	m := newMesh(t, 0, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var work sync.WaitGroup
+	for range count {
+		work.Go(func() {
+			for after := uint64(0); ctx.Err() == nil; {
+				snapshot, err := m.platform.Watch(ctx, connector.KindHead, after, watchWait)
+				if err != nil || len(snapshot.Objects) == 0 {
+					continue
+				}
+				after = snapshot.Objects[0].Revision
+				head, err := publisher.DecodeHead(snapshot.Objects[0].Value)
+				if err != nil {
+					t.Error(err)
+				}
+				for _, entry := range head.Manifest {
+					_, _ = m.platform.Get(ctx, connector.KindSection, entry.Digest)
+				}
+			}
+		})
+	}
+	m.publish(5)
+	<-time.After(time.Second)
+	before := m.platformCalls()
+	for range versions {
+		m.publish(5)
+		<-time.After(6 * time.Second)
+	}
+	calls := m.platformCalls() - before - versions*7
+	cancel()
+	work.Wait()
+	return calls
+}
+
+// Guards against a storm of platform calls when many nodes return at once: each reads the head and no section.
+func TestMassRestartCallsPlatformOnceEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const restarted = 40
+		m := newMesh(t, 1, 67)
+		m.startAll()
+		version := m.publish(5)
+		if _, ok := m.await(version, 5*timekeeper.Second); !ok {
+			t.Fatal("first version is not in force")
+		}
+		before := m.platformCalls()
+		for _, p := range m.nodes[:restarted] {
+			p.kill()
+		}
+		for _, p := range m.nodes[:restarted] {
+			p.start()
+		}
+		passed, ok := m.await(version, 5*timekeeper.Second)
+		for _, p := range m.nodes {
+			ok = ok && p.follower.Ready()
+		}
+		calls := m.platformCalls() - before
+		t.Logf("%d of 67 nodes restarted: %d platform calls, in force after %d ms", restarted, calls, passed)
+		if !ok || calls > restarted+4 { // the head for each, and two watches of two relays
+			t.Errorf("all ready %v after %d ms with %d platform calls", ok, passed, calls)
+		}
+	})
+}
--- a/internal/tracker/gossip.go
+++ b/internal/tracker/gossip.go
@@ -173,7 +173,8 @@
 	}
 	started := 0
 	for _, d := range pong.Digests {
-		if _, busy := m.exchanging[d.Zone]; busy || started >= maxExchanges && !fresh {
+		begun, busy := m.exchanging[d.Zone]
+		if busy && now-begun < 2*exchangeTimeout || started >= maxExchanges && !fresh {
 			continue
 		}
 		started++
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -95,15 +95,22 @@
 
 // Leave announces that the node has left and waits until the announcement is sent or ctx ends.
 func (t *Tracker) Leave(ctx context.Context) {
-	t.step(leaveAsked{})
-	sent := make(chan struct{})
-	go func() {
-		t.work.Wait()
-		close(sent)
-	}()
-	select {
-	case <-sent:
-	case <-ctx.Done():
+	t.mutex.Lock()
+	actions := t.machine.Step(t.options.Clock.Now(), leaveAsked{})
+	sent := make(chan struct{}, len(actions))
+	started := 0
+	for _, action := range actions {
+		if t.start(action, func() { sent <- struct{}{} }) {
+			started++
+		}
+	}
+	t.mutex.Unlock()
+	for range started {
+		select {
+		case <-sent:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -129,7 +136,7 @@
 		case heard:
 			reports = append(reports, a)
 		default:
-			t.start(action)
+			t.start(action, func() {})
 		}
 	}
 	t.mutex.Unlock()
@@ -141,22 +148,28 @@
 	return reply
 }
 
-// start carries out an action in its own goroutine. The caller holds the mutex.
-func (t *Tracker) start(action Action) {
+// start carries out an action in its own goroutine, which calls done at its end, and reports whether it does so. It
+// does not before and after Run. The caller holds the mutex.
+func (t *Tracker) start(action Action, done func()) bool {
 	if t.ctx == nil || t.closed {
-		return
+		return false
 	}
 	ctx := t.ctx
 	select {
 	case t.slots <- struct{}{}:
 	default:
-		t.work.Go(func() { t.fail(action) })
-		return
+		t.work.Go(func() {
+			defer done()
+			t.fail(action)
+		})
+		return true
 	}
 	t.work.Go(func() {
+		defer done()
 		defer func() { <-t.slots }()
 		t.carry(ctx, action)
 	})
+	return true
 }
 
 // carry sends one message and feeds its end back.
