--- a/internal/relayer/obtain.go
+++ b/internal/relayer/obtain.go
@@ -16,7 +16,8 @@
 const (
 	// sourceCount is how many other members are asked for a section before the platform is.
 	sourceCount = 3
-	// platformJitter spreads the members that have to ask the platform for a section.
+	// platformJitter spreads the members that found a section at no other one. After it they ask other members again
+	// before the platform: when many nodes restart together, the first ones asked may have nothing yet.
 	platformJitter = 500 * timekeeper.Millis(1)
 )
 
@@ -27,6 +28,7 @@
 	manifest []compiler.Entry
 	base     uint64
 	delta    []byte
+	direct   bool // sections come from the platform at once, because the version is too new for other nodes
 }
 
 // obtain prepares a version: by its delta if that fits, otherwise from sections. Source is the peer address of a node
@@ -61,7 +63,7 @@
 	if err := r.manifest(ctx, &t, source); err != nil {
 		return err
 	}
-	bodies, err := r.collect(ctx, t.manifest, source)
+	bodies, err := r.collect(ctx, &t, source)
 	if err != nil {
 		return err
 	}
@@ -141,24 +143,18 @@
 
 // collect returns the sections of a manifest: those held here, then those of the source and other members, then
 // those of the platform.
-func (r *Relayer) collect(ctx context.Context, manifest []compiler.Entry, source string) (map[string][]byte, error) {
-	bodies := make(map[string][]byte, len(manifest))
+func (r *Relayer) collect(ctx context.Context, t *target, source string) (map[string][]byte, error) {
+	bodies := make(map[string][]byte, len(t.manifest))
 	var missing []string
-	for _, entry := range manifest {
+	for _, entry := range t.manifest {
 		if body := r.options.Follower.Body(entry.Digest); body != nil {
 			bodies[entry.Digest] = body
 		} else {
 			missing = append(missing, entry.Digest)
 		}
 	}
-	for _, address := range r.sources(source) {
-		if len(missing) == 0 {
-			return bodies, nil
-		}
-		missing = r.collectFrom(ctx, address, missing, bodies)
-	}
-	if len(missing) > 0 && source != "" {
-		_ = connector.Sleep(ctx, r.jitter(platformJitter))
+	if !t.direct {
+		missing = r.collectFromMembers(ctx, source, missing, bodies)
 	}
 	for _, digest := range missing {
 		object, err := r.options.Platform.Get(ctx, connector.KindSection, digest)
@@ -170,6 +166,25 @@
 	return bodies, nil
 }
 
+// collectFromMembers asks the source and other members, and some again after a while, and returns the sections that
+// are still missing.
+func (r *Relayer) collectFromMembers(
+	ctx context.Context, source string, missing []string, bodies map[string][]byte,
+) []string {
+	for attempt := range 2 {
+		if attempt > 0 && len(missing) > 0 {
+			_ = connector.Sleep(ctx, r.jitter(platformJitter))
+		}
+		for _, address := range r.sources(source) {
+			if len(missing) == 0 {
+				return nil
+			}
+			missing = r.collectFrom(ctx, address, missing, bodies)
+		}
+	}
+	return missing
+}
+
 // collectFrom fetches sections from one node and returns those still missing.
 func (r *Relayer) collectFrom(
 	ctx context.Context, address string, missing []string, bodies map[string][]byte,
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -61,6 +61,7 @@
 func (r *Relayer) learn(ctx context.Context, head *publisher.Head, ask bool) error {
 	wanted := target{
 		version: head.Version, digest: head.Digest, manifest: head.Manifest, base: head.Base, delta: head.Delta,
+		direct: !ask && r.options.Follower.ActiveVersion() > 0,
 	}
 	if err := r.obtain(ctx, wanted, ""); err != nil {
 		return err
