--- /dev/null
+++ b/internal/deduplicator/mesh_test.go
@@ -0,0 +1,127 @@
+package deduplicator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// mesh carries messages between services in one process at once and without faults.
+type mesh struct {
+	clock   *timekeeper.ManualClock
+	members []tracker.Member
+	nodes   map[string]*Service
+	moved   map[string]string // who answers at the address of another node
+}
+
+// newMesh returns count nodes in data centre "z" that all started long before now.
+func newMesh(count int, options Options) *mesh {
+	m := &mesh{clock: timekeeper.Manual(1_000_000_000), nodes: make(map[string]*Service)}
+	for i := range count {
+		name := fmt.Sprintf("n%02d", i)
+		m.members = append(m.members, tracker.Member{Name: name, Zone: "z", Peer: name, Incarnation: 1})
+	}
+	for i := range m.members {
+		m.start(m.members[i].Name, 1, 1, options)
+	}
+	return m
+}
+
+// start puts an empty process in place of a node.
+func (m *mesh) start(name string, incarnation uint64, since timekeeper.Millis, options Options) {
+	options.Name, options.Incarnation, options.Zone = name, incarnation, "z"
+	options.Clock, options.Caller, options.Directory = m.clock.Clock(), m, m
+	options.Since = func() timekeeper.Millis { return since }
+	options.Placement = &Observed{
+		Directory: m, Clock: options.Clock, Lead: 1000, Window: defaultWindow,
+		View:  func(string, string) []string { return []string{"z"} },
+		Lists: func() [][]string { return [][]string{{"z"}} },
+	}
+	m.nodes[name] = New(options)
+}
+
+func (m *mesh) Zone(string) []tracker.Member { return m.members }
+
+func (m *mesh) Find(name string) (tracker.Member, bool) {
+	for _, member := range m.members {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return tracker.Member{}, false
+}
+
+func (m *mesh) Call(_ context.Context, peer, _ string, arguments, reply any, _ timekeeper.Millis) error {
+	if moved, found := m.moved[peer]; found {
+		peer = moved
+	}
+	if m.nodes[peer] == nil {
+		return classifier.New(classifier.CodePeerClosed, peer, "down")
+	}
+	return m.nodes[peer].local(arguments, reply)
+}
+
+// callerID returns an id that a caller created.
+func callerID(born timekeeper.Millis, random *rand.Rand) ID {
+	d := Mint(born, random, "", nil)
+	d[15] ^= 0xff
+	return d
+}
+
+// request is the first attempt of an id at a host.
+func (m *mesh) request(host, id string) Request {
+	incarnation := m.nodes[host].options.Incarnation
+	return Request{ID: id, Attempt: 1, Host: host, Incarnation: incarnation, Account: "a", Call: "c"}
+}
+
+// fresh is the first attempt at n00 of an id that the entry node created.
+func (m *mesh) fresh() Request {
+	r := m.request("n00", m.nodes["n00"].Mint("a", "c"))
+	r.Fresh = true
+	return r
+}
+
+// claim presents an id at a host. It needs a synctest bubble.
+func (m *mesh) claim(t testing.TB, host, id string) Decision {
+	t.Helper()
+	decision, err := m.nodes[host].Claim(t.Context(), m.request(host, id))
+	if err != nil {
+		t.Fatalf("claim: %v", err)
+	}
+	synctest.Wait() // the rest of the messages arrives
+	return decision
+}
+
+// finish claims and completes an id at a host. Owners that are down miss the answer.
+func (m *mesh) finish(t *testing.T, host, id, body string) {
+	t.Helper()
+	proceed, ok := m.claim(t, host, id).(Proceed)
+	r := m.request(host, id)
+	r.Sequence = proceed.Sequence
+	if !ok {
+		t.Fatalf("%s does not run", id)
+	}
+	_ = m.nodes[host].Complete(t.Context(), r, Answer{Status: 200, Body: []byte(body)})
+}
+
+// Guards against a repeat at another host that runs again or loses the first answer.
+func TestRepeatGetsFirstAnswer(t *testing.T) { synctest.Test(t, repeatGetsFirstAnswer) }
+
+func repeatGetsFirstAnswer(t *testing.T) {
+	m := newMesh(5, Options{})
+	id := callerID(m.clock.Clock().Now(), rand.New(rand.NewPCG(1, 1))).String()
+	m.finish(t, "n00", id, "first")
+	replay, ok := m.claim(t, "n01", id).(Replay)
+	if !ok || string(replay.Answer.Body) != "first" {
+		t.Fatalf("a repeat gets %v", replay)
+	}
+	if record, err := m.nodes["n02"].Lookup(t.Context(), id); err != nil || record.State != StateDone {
+		t.Fatalf("lookup gets %v, %v", record, err)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/entry.go
@@ -0,0 +1,250 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
+	"github.com/jasmineproxy/jasmineproxy/internal/router"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// forwardPath is where the host node takes requests on its peer address.
+const forwardPath = "/forward"
+
+// outcomePath is the prefix of the outcome query on the caller address.
+const outcomePath = "/.jasmine/outcome/"
+
+// Entry is the handler of the caller address.
+type Entry struct {
+	Options
+	matcher   router.Matcher
+	transport *http.Transport
+	watcher   *watcher
+	end       context.CancelFunc
+
+	// Switches of mechanisms, set by tests only.
+	noResolve, deliverShort, takeAny, noMemory bool
+}
+
+// NewEntry returns the handler of the caller address.
+func NewEntry(options Options) *Entry {
+	if options.MaxBody <= 0 {
+		options.MaxBody = defaultMaxBody
+	}
+	e := &Entry{Options: options, transport: newTransport(options.Dial, 0)}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.watcher, e.end = newWatcher(ctx, e), cancel
+	return e
+}
+
+// Close ends the questions about waiting calls and closes idle connections to host nodes.
+func (e *Entry) Close() {
+	e.end()
+	e.transport.CloseIdleConnections()
+}
+
+// ServeHTTP runs one request of a caller to its typed end.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, outcomePath) {
+		e.serveOutcome(w, r)
+		return
+	}
+	if e.Gate != nil {
+		if !e.Gate.Begin() {
+			e.fail(w, classifier.Refuse(classifier.CodeDraining, e.Name, "the node is draining"))
+			return
+		}
+		defer e.Gate.End()
+	}
+	c, err := e.accept(r)
+	if c != nil {
+		c.deliverShort, c.takeAny = e.deliverShort, e.takeAny
+		w.Header()[headerID] = []string{c.job.ID}
+		w.Header()[headerVersion] = []string{strconv.FormatUint(c.route.Version, 10)}
+		defer releaseBuffer(c.body)
+	}
+	if err != nil {
+		e.fail(w, failureOf(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), (c.deadline - e.Clock.Now()).Duration())
+	defer cancel()
+	if e.Retrier != nil {
+		e.Retrier.First(c.job.Service)
+	}
+	e.run(ctx, w, c)
+}
+
+// run makes attempts until one ends the call.
+func (e *Entry) run(ctx context.Context, w http.ResponseWriter, c *call) {
+	var last *classifier.Error
+	for {
+		c.job.Attempt++
+		member, err := e.Picker.Pick(c.pick)
+		if err != nil {
+			if last == nil {
+				last = failureOf(err)
+			}
+			e.refuse(w, c, last)
+			return
+		}
+		end := e.attempt(ctx, c, &member)
+		if end.failure == nil {
+			end.deliver(w, c)
+			return
+		}
+		last = end.failure
+		c.started = c.started || last.Outcome != classifier.OutcomeNotRun
+		if !e.again(ctx, c, &member, end) {
+			e.refuse(w, c, last)
+			return
+		}
+	}
+}
+
+// refuse reports a failure. "Not run" is a statement about the request and not only about its last attempt: an earlier
+// attempt may have run, and where an id from a caller is refused without its claim, an earlier presentation of the id.
+func (e *Entry) refuse(w http.ResponseWriter, c *call, failure *classifier.Error) {
+	uncertain := !c.job.Fresh && !c.job.Idempotent && !c.certain
+	if failure.Outcome == classifier.OutcomeNotRun && (uncertain || c.started && !e.noMemory) {
+		copied := *failure
+		copied.Outcome = classifier.OutcomeUnknown
+		failure = &copied
+	}
+	e.fail(w, failure)
+}
+
+// again decides whether a failed attempt is followed by another.
+func (e *Entry) again(ctx context.Context, c *call, member *tracker.Member, end *ending) bool {
+	if ctx.Err() != nil || e.Retrier == nil {
+		return false
+	}
+	if end.died {
+		c.deaths++
+	}
+	// The hint of a refusal is about the member that refused, which the next attempt avoids.
+	decision := e.Retrier.Decide(retrier.Attempt{
+		Service: c.job.Service, Number: c.job.Attempt, Outcome: end.failure.Outcome, Code: end.failure.Code,
+		Idempotent: c.job.Idempotent, Retried: c.inherited, Deaths: c.deaths, Deadline: c.deadline,
+	})
+	if !decision.Retry {
+		return false
+	}
+	if decision.After > 0 {
+		pause(ctx, decision.After)
+	}
+	c.job.Retry = true
+	c.pick.Avoid = append(c.pick.Avoid, member.Name)
+	return true
+}
+
+// attempt sends the request to one host node and returns how that ended.
+func (e *Entry) attempt(ctx context.Context, c *call, member *tracker.Member) *ending {
+	e.Picker.Started(member.Name)
+	begun := e.Clock.Now()
+	end := e.exchange(ctx, c, member)
+	end.finished = func() {
+		e.Picker.Finished(member.Name, e.report(c, end, e.Clock.Now()-begun))
+	}
+	if end.failure != nil {
+		end.close()
+	}
+	return end
+}
+
+func (e *Entry) report(c *call, end *ending, latency timekeeper.Millis) router.Report {
+	report := router.Report{Request: c.pick, Latency: latency, Retry: end.wait}
+	report.Running, report.Queued, report.Reported = end.load.Running, end.load.Queued, end.reported
+	if end.failure != nil {
+		report.Code = end.failure.Code
+		report.Failed = end.failure.Outcome == classifier.OutcomeUnknown ||
+			end.failure.Code == classifier.CodeUpstreamUnreached
+	}
+	return report
+}
+
+// exchange makes the HTTP exchange of an attempt.
+func (e *Entry) exchange(ctx context.Context, c *call, member *tracker.Member) *ending {
+	remaining := c.deadline - e.Clock.Now()
+	reserve := reserveOf(remaining)
+	if remaining <= 2*reserve {
+		return failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
+	}
+	c.sent = e.Clock.Now()
+	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
+	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
+	watch := e.watcher.begin(c, member.Peer, cancel)
+	response, err := e.transport.RoundTrip(c.request(bounded, member.Peer))
+	if err != nil {
+		e.watcher.stop(watch)
+		cancel()
+		return e.mend(ctx, c, member, interrupted(broken(ctx, c, err)))
+	}
+	end := receive(ctx, c, response, cancel)
+	e.watcher.stop(watch)
+	return e.mend(ctx, c, member, end)
+}
+
+// mend looks for the outcome of an exchange that broke. An idempotent request is rather sent again.
+func (e *Entry) mend(ctx context.Context, c *call, member *tracker.Member, end *ending) *ending {
+	if !end.broken || end.failure.Outcome != classifier.OutcomeUnknown || c.job.Idempotent {
+		return end
+	}
+	end.close()
+	return e.resolve(ctx, c, member, end.failure)
+}
+
+// reserveOf is the part of the remaining time that is kept back at each of two places, so that a host node can report
+// how a call ended at its deadline, and this node can ask again over a new connection.
+func reserveOf(remaining timekeeper.Millis) timekeeper.Millis {
+	return min(max(remaining/20, 2), 50)
+}
+
+// request builds the HTTP request to a host node.
+func (c *call) request(ctx context.Context, peer string) *http.Request {
+	header := make(http.Header, len(c.header)+4)
+	passHeaders(header, c.header)
+	suppressAgent(header)
+	header[headerForward] = []string{c.job.encode()}
+	header[headerTarget] = []string{c.job.URI}
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: peer, Path: forwardPath}, Host: c.host,
+		Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if c.body != nil && len(c.body.bytes) > 0 {
+		request.Body = newOnce(c.body)
+		request.ContentLength = int64(len(c.body.bytes))
+	}
+	return request.WithContext(ctx)
+}
+
+func (e *Entry) fail(w http.ResponseWriter, failure *classifier.Error) {
+	writeFailure(w, failure, e.Clock.Now())
+}
+
+// newTransport returns a transport without retries of its own that matter here: bodies cannot be replayed.
+func newTransport(dial dialFunc, connections int) *http.Transport {
+	if dial == nil {
+		dial = dialer.DialContext
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 128,
+		MaxConnsPerHost:     connections,
+		// Below the usual idle limits of servers, since a request on a connection that the server closes at the
+		// same moment ends with an unknown outcome.
+		IdleConnTimeout:        (15 * timekeeper.Second).Duration(),
+		ReadBufferSize:         8 << 10,
+		WriteBufferSize:        8 << 10,
+		MaxResponseHeaderBytes: 64 << 10,
+		ExpectContinueTimeout:  time.Second,
+	}
+}
