deduplicator: shorten claim messages and the choice of owners

Cause: a claim carried empty record fields, and the choice of three owners among 139 names took 7 us, four times per claim. Ruled out: keeping the hashes of the names with each epoch; the gain of about 3 us per choice does not pay for the extra state next to a message of tens of microseconds.

--- a/internal/deduplicator/home.go
+++ b/internal/deduplicator/home.go
@@ -9,10 +9,12 @@
 // Replicas is the number of owners of an id in a data centre with enough members.
 const Replicas = 3
 
-// weight is the rendezvous weight of a name for an id.
-func weight(d ID, name string) uint64 {
-	var buffer [128]byte
-	return xxhash.Sum64(append(append(buffer[:0], d[:]...), name...))
+// weight is the rendezvous weight of a name for an id with the given hash.
+func weight(hash uint64, name string) uint64 {
+	w := hash ^ xxhash.Sum64String(name)
+	w = (w ^ w>>33) * 0xff51afd7ed558ccd
+	w = (w ^ w>>33) * 0xc4ceb9fe1a85ec53
+	return w ^ w>>33
 }
 
 // Home returns the data centre whose members remember the id: the name with the highest weight, or "" without names.
@@ -25,17 +27,18 @@
 
 // Owners returns the count names with the highest weights for the id, highest first. Names must be distinct.
 func Owners(d ID, names []string, count int) []string {
+	hash := xxhash.Sum64(d[:])
 	best := make([]string, 0, count+1)
 	weights := make([]uint64, 0, count+1)
 	for _, name := range names {
-		w := weight(d, name)
+		w := weight(hash, name)
+		if len(best) == count && (w < weights[count-1] || w == weights[count-1] && name > best[count-1]) {
+			continue
+		}
 		at := len(best)
 		for at > 0 && (weights[at-1] < w || weights[at-1] == w && best[at-1] > name) {
 			at--
 		}
-		if at == count {
-			continue
-		}
 		best = slices.Insert(best, at, name)
 		weights = slices.Insert(weights, at, w)
 		if len(best) > count {
--- a/internal/deduplicator/record.go
+++ b/internal/deduplicator/record.go
@@ -19,16 +19,16 @@
 // if it is not kept.
 type Record struct {
 	ID          ID      `msgpack:"i"`
-	State       State   `msgpack:"s"`
-	Host        string  `msgpack:"h"`
-	Incarnation uint64  `msgpack:"n"`
-	Sequence    uint64  `msgpack:"q"`
-	Attempt     int     `msgpack:"t"`
-	Account     string  `msgpack:"a"`
-	Call        string  `msgpack:"c"`
-	Status      int     `msgpack:"u"`
-	Digest      uint64  `msgpack:"d"`
-	Answer      *Answer `msgpack:"w"`
+	State       State   `msgpack:"s,omitempty"`
+	Host        string  `msgpack:"h,omitempty"`
+	Incarnation uint64  `msgpack:"n,omitempty"`
+	Sequence    uint64  `msgpack:"q,omitempty"`
+	Attempt     int     `msgpack:"t,omitempty"`
+	Account     string  `msgpack:"a,omitempty"`
+	Call        string  `msgpack:"c,omitempty"`
+	Status      int     `msgpack:"u,omitempty"`
+	Digest      uint64  `msgpack:"d,omitempty"`
+	Answer      *Answer `msgpack:"w,omitempty"`
 }
 
 // holder is the process that holds a claim.
