deduplicator: stop a replaced owner, vary the pause between looks at a running attempt

Cause: a paused process that wakes after another one took over its name went on granting claims. Two hosts that split the owners between them released and claimed again after the same 20 ms. Ruled out: a lease of owners by a majority of their data centre, which the pings of one member per second cannot renew in time; random jitter, which would make failing schedules impossible to repeat. Change: an owner whose name has a newer incarnation in the directory is uncertain; the pause depends on the host. Conclusion: between the start of the second process and the news of it, two processes of one name can still both grant. A name must not be given to another machine while the first process may run.

--- a/internal/deduplicator/receiver.go
+++ b/internal/deduplicator/receiver.go
@@ -23,15 +23,23 @@
 	v, r := c.service, &arguments.Record
 	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners &&
 		(arguments.Owner == v.options.Name || v.store.rules.anyName)
-	since := timekeeper.Millis(0)
-	if v.options.Since != nil {
-		since = v.options.Since()
-	}
-	*reply = v.store.Claim(v.options.Clock.Now(), since, agreed, r)
+	*reply = v.store.Claim(v.options.Clock.Now(), v.since(), agreed, r)
 	reply.Format = Format
 	return nil
 }
 
+// since returns the time from which this process counts as an owner, or 0 if it does not: it has not joined, or a newer
+// process has its name.
+func (v *Service) since() timekeeper.Millis {
+	if self, found := v.options.Directory.Find(v.options.Name); found && self.Incarnation > v.options.Incarnation {
+		return 0
+	}
+	if v.options.Since == nil {
+		return 0
+	}
+	return v.options.Since()
+}
+
 // Release frees the claim of an attempt that never started.
 func (c *Receiver) Release(arguments *ReleaseArguments, reply *Empty) error {
 	if err := check(arguments.Format, &arguments.Record); err != nil {
--- a/internal/deduplicator/resolve.go
+++ b/internal/deduplicator/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
@@ -26,10 +27,10 @@
 	case err != nil && record.State == StateDone:
 		return replay(record)
 	case err != nil, certified.State == StateClaimed:
-		return Wait{Record: record, After: v.options.Poll}
+		return Wait{Record: record, After: v.pause(record)}
 	case certified.State == StateReleased && record.State == StateClaimed:
 		v.release(ctx, &record)
-		return Wait{Record: record, After: v.options.Poll}
+		return Wait{Record: record, After: v.pause(record)}
 	case certified.State == StateDone:
 		return replay(certified)
 	case record.State == StateDone:
@@ -38,6 +39,13 @@
 	return Refuse{Error: unknown(r.ID)}
 }
 
+// pause is the time until the next look at a running attempt, in ms. It differs between hosts, so that two that split
+// the owners between them do not claim again at the same moment.
+func (v *Service) pause(record Record) timekeeper.Millis {
+	jitter := weight(record.Sequence+v.host.sequence.Load(), v.options.Name) % uint64(v.options.Poll)
+	return v.options.Poll/2 + timekeeper.Millis(jitter)
+}
+
 // gone reports whether the process that holds a claim has ended as far as this node knows.
 func (v *Service) gone(record Record) bool {
 	member, found := v.options.Directory.Find(record.Host)
--- a/internal/deduplicator/service.go
+++ b/internal/deduplicator/service.go
@@ -19,12 +19,13 @@
 	Directory   Directory
 	Placement   Placement
 	// Since returns the time from which this process counts as an owner: when it knew the members of its data centre
-	// and they knew it. 0 means not yet.
+	// and they knew it. 0 means not yet. A process stops being an owner when the directory lists a newer one of its name;
+	// until it hears of it, two processes of one name that run at the same time can grant one id twice.
 	Since   func() timekeeper.Millis
 	Bytes   int               // memory for records and answers, default 64 MiB
 	Window  timekeeper.Millis // memory window, default 10 min
 	Timeout timekeeper.Millis // per message, default 250 ms
-	Poll    timekeeper.Millis // between two looks at a running attempt, default 20 ms
+	Poll    timekeeper.Millis // average time between two looks at a running attempt, default 20 ms
 }
 
 // Defaults of Options.
--- a/internal/deduplicator/service_test.go
+++ b/internal/deduplicator/service_test.go
@@ -131,6 +131,24 @@
 	}
 }
 
+// Guards against a process that grants claims after another one took over its name.
+func TestReplacedOwnerStops(t *testing.T) {
+	m := newMesh(1, Options{})
+	id := callerID(testNow, rand.New(rand.NewPCG(10, 10)))
+	node := m.nodes["n00"]
+	m.members[0].Incarnation = 2
+	r := Record{ID: id, Host: "h", Sequence: 1}
+	arguments := ClaimArguments{Format: Format, Owner: "n00", Owners: fingerprint([]string{"n00"}), Record: r}
+	var reply ClaimReply
+	if err := (&Receiver{service: node}).Claim(&arguments, &reply); err != nil || reply.Verdict != VerdictUncertain {
+		t.Fatalf("verdict %d, %v", reply.Verdict, err)
+	}
+	m.members[0].Incarnation = 1
+	if err := (&Receiver{service: node}).Claim(&arguments, &reply); err != nil || reply.Verdict != VerdictGranted {
+		t.Fatalf("verdict %d without a newer process, %v", reply.Verdict, err)
+	}
+}
+
 // Guards against replaying an answer to another client account that uses the same id.
 func TestAnswerStaysWithItsAccount(t *testing.T) { synctest.Test(t, answerStaysWithItsAccount) }
 
