Use agreed schedules for the owners of request ids

Cause: with owners taken from each node's own member table, halves of a data centre that no longer list each other can run an id twice; the schedule on the platform closes that. A node that read the schedules before the first was written did not read again for minutes and refused all ids from callers. Ruled out: short fixed polling, since all nodes would read at once when a service is new. Change: the node uses deduplicator.Agreed; its keeper reads again after a claim that found no schedule, at most about once a second, and otherwise with growing waits.

--- a/internal/deduplicator/agreed.go
+++ b/internal/deduplicator/agreed.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 // Agreed is a Placement of schedules that the platform holds, each written as Schedule.Plan says. No partition, pause
@@ -13,6 +14,7 @@
 	zones   sync.Map // service to Schedule
 	owners  sync.Map // data centre to Schedule
 	mutex   sync.Mutex
+	wanted  atomic.Bool // a claim asked for a schedule that is not here
 }
 
 // NewAgreed returns a placement without schedules. Service names the service that runs a call.
@@ -50,7 +52,12 @@
 
 // Zones implements Placement.
 func (g *Agreed) Zones(account, call string) Schedule {
-	return get(&g.zones, g.service(account, call))
+	return g.zonesOf(g.service(account, call))
+}
+
+// zonesOf returns the schedule of the data centres of a service.
+func (g *Agreed) zonesOf(service string) Schedule {
+	return g.find(&g.zones, service)
 }
 
 // Homes implements Placement.
@@ -68,7 +75,16 @@
 
 // Owners implements Placement.
 func (g *Agreed) Owners(zone string) Schedule {
-	return get(&g.owners, zone)
+	return g.find(&g.owners, zone)
+}
+
+// find returns a schedule, and notes if it is missing.
+func (g *Agreed) find(schedules *sync.Map, name string) Schedule {
+	s := get(schedules, name)
+	if len(s.Epochs) == 0 {
+		g.wanted.Store(true)
+	}
+	return s
 }
 
 // sameEpochs reports whether two schedules list the same names at all times.
--- a/internal/deduplicator/keeper.go
+++ b/internal/deduplicator/keeper.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
@@ -20,6 +19,12 @@
 	zonePrefix    = "zone."
 	servicePrefix = "service."
 	defaultLead   = 60 * timekeeper.Minute
+	coveredPoll   = timekeeper.Second
+	// Bounds of the wait between two reads while a schedule is missing. All nodes miss it at the same time when a
+	// service is new: at 3,200 nodes the base spreads their reads to 800 a second. The cap holds for a data centre that
+	// a template names and that has no nodes, so that its schedule never comes.
+	missingBase = 4 * timekeeper.Second
+	missingCap  = 8 * timekeeper.Minute
 )
 
 // KeeperOptions sets up a Keeper.
@@ -49,21 +54,46 @@
 	return &Keeper{options: options}
 }
 
-// Run refreshes the schedules until the context ends: eight times per lead, and until the first success every second.
+// Run refreshes the schedules until the context ends: eight times per lead, after a claim that found none, and with
+// growing waits while a service of the view has none, since its calls with an id from the caller are refused until then.
 func (k *Keeper) Run(ctx context.Context) error {
+	next, retry, bound := timekeeper.Millis(0), timekeeper.Millis(0), missingBase
 	for {
-		wait := (k.options.Lead / 8).Duration()
-		if k.Refresh(ctx) != nil {
-			wait = time.Second
+		now := k.options.Clock.Now()
+		asked := k.options.Agreed.wanted.Swap(false)
+		if (now >= next || asked || now >= retry) && k.Refresh(ctx) == nil {
+			period := k.options.Lead / 8
+			next = now + period/2 + rand.N(period)
 		}
-		timer := time.NewTimer(wait/2 + rand.N(wait))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		switch {
+		case k.covered():
+			retry, bound = next, missingBase
+		case k.options.Relay():
+			retry = now
+		case now >= retry:
+			retry = now + bound/2 + rand.N(bound/2)
+			bound = min(2*bound, missingCap)
+		}
+		if err := connector.Sleep(ctx, coveredPoll/2+rand.N(coveredPoll)); err != nil {
+			return err
+		}
+	}
+}
+
+// covered reports whether each service of the view, and each of their data centres, has a schedule.
+func (k *Keeper) covered() bool {
+	now := k.options.Clock.Now()
+	for service, zones := range k.options.Services() {
+		if get(&k.options.Agreed.zones, service).At(now) == nil {
+			return false
+		}
+		for _, zone := range zones {
+			if get(&k.options.Agreed.owners, zone).At(now) == nil {
+				return false
+			}
 		}
 	}
+	return true
 }
 
 // Refresh reads all schedules, and as a relay first extends those that need it. One List is the only call of a node
--- a/internal/deduplicator/keeper_test.go
+++ b/internal/deduplicator/keeper_test.go
@@ -1,12 +1,15 @@
 package deduplicator
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 
 	"pgregory.net/rapid"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
@@ -73,3 +76,32 @@
 		}
 	})
 }
+
+// Guards against a node that reads the schedules before a relay has written them and then not again for minutes, in
+// which it refuses every id from a caller.
+func TestKeeperReadsAgainWhileScheduleIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform, clock := faker.NewPlatform(), timekeeper.System()
+		keeper := func(relay func() bool) *Keeper {
+			return NewKeeper(KeeperOptions{
+				Platform: platform, Clock: clock, Zone: "z", Relay: relay,
+				Directory: &mesh{members: []tracker.Member{{Name: "a"}, {Name: "b"}}},
+				Agreed:    NewAgreed(func(string, string) string { return "s" }),
+				Services:  func() map[string][]string { return map[string][]string{"s": {"z"}} },
+			})
+		}
+		begun := clock.Now()
+		reader := keeper(func() bool { return false })
+		writer := keeper(func() bool { return clock.Now() > begun+8*timekeeper.Second })
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = reader.Run(ctx) }()
+		go func() { _ = writer.Run(ctx) }()
+		_ = connector.Sleep(ctx, timekeeper.Minute)
+		covered, calls := reader.covered(), platform.Calls()["list"]
+		cancel()
+		synctest.Wait()
+		if !covered || calls > 40 {
+			t.Fatalf("the reader has all schedules: %v, after %d reads", covered, calls)
+		}
+	})
+}
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -19,7 +19,7 @@
 	objects  map[string]map[string]connector.Object // by kind and name; deleted ones stay as tombstones
 	changed  chan struct{}
 	fault    func(Operation) Fault
-	calls    map[string]int // calls so far, by method and kind
+	calls    map[string]int // calls so far, by method
 }
 
 // Operation describes a call for a fault function.
@@ -52,7 +52,7 @@
 	p.fault = fault
 }
 
-// Calls returns the number of calls so far by method and kind.
+// Calls returns the number of calls so far by method.
 func (p *Platform) Calls() map[string]int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -186,7 +186,7 @@
 func (p *Platform) count(operation Operation) Fault {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.calls[operation.Method+" "+operation.Kind]++
+	p.calls[operation.Method]++
 	if p.fault == nil {
 		return Fault{}
 	}
--- a/internal/runner/homes.go
+++ b/internal/runner/homes.go
@@ -1,12 +1,13 @@
 package runner
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 )
 
-// homes answers which data centres a call's service has, from an index that is built once per view.
+// homes answers which service runs a call and which data centres it has, from an index that is built once per view.
 type homes struct {
 	active func() *compiler.View
 	index  atomic.Pointer[homeIndex]
@@ -14,23 +15,23 @@
 
 // homeIndex is the index of one view.
 type homeIndex struct {
-	view  *compiler.View
-	calls map[callKey][]string
-	lists [][]string
+	view     *compiler.View
+	calls    map[callKey]string
+	services map[string][]string
 }
 
 type callKey struct {
 	account, call string
 }
 
-// zones returns the data centres of the service that runs a call, or nil for an unknown call.
-func (h *homes) zones(account, call string) []string {
+// service returns the service that runs a call, or "" for an unknown call.
+func (h *homes) service(account, call string) string {
 	return h.current().calls[callKey{account, call}]
 }
 
-// lists returns the lists of data centres of all services.
-func (h *homes) lists() [][]string {
-	return h.current().lists
+// services returns the sorted data centres of each service.
+func (h *homes) services() map[string][]string {
+	return h.current().services
 }
 
 func (h *homes) current() *homeIndex {
@@ -44,18 +45,16 @@
 }
 
 func buildHomes(view *compiler.View) *homeIndex {
-	index := &homeIndex{view: view, calls: make(map[callKey][]string)}
+	index := &homeIndex{view: view, calls: make(map[callKey]string), services: make(map[string][]string)}
 	if view == nil {
 		return index
 	}
 	for _, service := range view.Services {
-		index.lists = append(index.lists, service.Zones)
+		index.services[service.Name] = slices.Sorted(slices.Values(service.Zones))
 	}
 	for _, account := range view.Accounts {
 		for _, call := range account.Calls {
-			if service := view.Service(call.Service); service != nil {
-				index.calls[callKey{account.Name, call.Name}] = service.Zones
-			}
+			index.calls[callKey{account.Name, call.Name}] = call.Service
 		}
 	}
 	return index
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -50,6 +50,7 @@
 	seeder       *seeder
 	auditor      *auditor.Auditor
 	deduplicator *deduplicator.Service
+	keeper       *deduplicator.Keeper
 	isolator     *isolator.Isolator
 	queue        *admitter.Queue
 	prober       *prober.Prober
@@ -137,10 +138,11 @@
 func (n *Node) addRequests() {
 	incarnation := n.Tracker.Self().Incarnation
 	places := &homes{active: n.Follower.Active}
-	placement := &deduplicator.Observed{
-		Directory: n.Tracker, View: places.zones, Lists: places.lists, Clock: n.edges.Clock,
-		Lead: ownerLead, Window: memoryWindow,
-	}
+	placement := deduplicator.NewAgreed(places.service)
+	n.keeper = deduplicator.NewKeeper(deduplicator.KeeperOptions{
+		Platform: n.platform, Clock: n.edges.Clock, Agreed: placement, Directory: n.Tracker, Zone: n.settings.Zone,
+		Services: places.services, Relay: n.mayPlace, Window: memoryWindow,
+	})
 	n.deduplicator = deduplicator.New(deduplicator.Options{
 		Name: n.settings.Name, Incarnation: incarnation, Zone: n.settings.Zone, Clock: n.edges.Clock,
 		Caller: n.client, Directory: n.Tracker, Placement: placement, Window: memoryWindow,
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -16,9 +16,9 @@
 const (
 	// memoryWindow is the time for which request ids are remembered.
 	memoryWindow = 10 * timekeeper.Minute
-	// ownerLead is how long before it takes effect a change of an id's owners is known. Membership reaches the
-	// members of a data centre within a few seconds.
-	ownerLead = 5 * timekeeper.Second
+	// placePatience is how long a relay has known other members before it writes who owns request ids. Members that
+	// start together find each other within a few seconds, and a name that is missed becomes an owner much later.
+	placePatience = 8 * timekeeper.Second
 	// drainGrace bounds the wait for work in flight at a planned stop.
 	drainGrace = timekeeper.Minute
 	// refreshPeriod is the time between two looks at what the node announces of itself.
@@ -69,7 +69,7 @@
 		group.Add(opened.serve, func(error) { opened.close(n.killed.Load()) })
 	}
 	parts := []func(context.Context) error{
-		n.Tracker.Run, n.relayer.Run, n.seeder.run, n.auditor.Run, n.prober.Run, n.refresh, n.runIsolator,
+		n.Tracker.Run, n.relayer.Run, n.seeder.run, n.auditor.Run, n.prober.Run, n.refresh, n.runIsolator, n.runKeeper,
 		func(ctx context.Context) error { return n.Publisher.Run(ctx, n.Tracker.IsRelay) },
 	}
 	for _, part := range parts {
@@ -91,6 +91,18 @@
 	return nil
 }
 
+// runKeeper ends without an error at the end of ctx.
+func (n *Node) runKeeper(ctx context.Context) error {
+	_ = n.keeper.Run(ctx)
+	return nil
+}
+
+// mayPlace reports whether this node writes the schedules of the owners of request ids.
+func (n *Node) mayPlace() bool {
+	joined := timekeeper.Millis(n.joined.Load())
+	return joined > 0 && n.edges.Clock.Now()-joined >= placePatience && n.Tracker.IsRelay()
+}
+
 // awaitStop waits for the order to stop and drains the node.
 func (n *Node) awaitStop(ctx, base context.Context) error {
 	select {
--- a/tools/bench/caller.go
+++ b/tools/bench/caller.go
@@ -15,6 +15,9 @@
 	"github.com/urfave/cli/v3"
 )
 
+// warmLimit is how long each kind of call may take to be answered for the first time.
+const warmLimit = 30 * time.Second
+
 // Instance is one node with its upstream, as the demo script lists them.
 type Instance struct {
 	Name     string `json:"name"`
@@ -57,6 +60,10 @@
 	}
 	load := newLoad(entriesOf(instances), c.String("internal"))
 	targets := targetsOf(&view)
+	if err := load.warm(ctx, targets, warmLimit); err != nil {
+		return err
+	}
+	fmt.Println("sending calls")
 	sending, cancel := context.WithTimeout(ctx, c.Duration("span"))
 	defer cancel()
 	var work sync.WaitGroup
--- a/tools/bench/gauge.go
+++ b/tools/bench/gauge.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
 	"runtime"
 	"syscall"
 	"time"
@@ -41,9 +39,6 @@
 	after := read(fleet.Topology, fleet.Store)
 	close(stop)
 	m.spent(systemDesign, scenario, size, before, after)
-	if os.Getenv("BENCH_CALLS") != "" {
-		fmt.Fprintln(os.Stderr, scenario, size, fleet.Store.Calls())
-	}
 	m.report.add(systemDesign, scenario, size, "platform_calls_peak", float64(<-peak))
 }
 
--- a/tools/bench/load.go
+++ b/tools/bench/load.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// warm sends each kind of call until it is answered once or limit passes. Right after the first start of a system the
+// owners of request ids are not agreed yet.
+func (l *Load) warm(ctx context.Context, targets []Target, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for i := range targets {
+		for l.send(&targets[i], uuid.Must(uuid.NewV7()).String(), nil).Outcome != classifier.OutcomeAnswered {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not answered after %v", targets[i].key(), limit)
+			}
+			if err := wait(ctx, 100*time.Millisecond); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // wait waits for the requests under way.
 func (l *Load) wait() {
 	l.work.Wait()
--- a/tools/bench/requests.go
+++ b/tools/bench/requests.go
@@ -129,6 +129,9 @@
 	}
 	load := newLoad(entriesOf(mesh.layout.Instances), meshInternal)
 	targets := targetsOf(&mesh.view)
+	if err := load.warm(ctx, targets, warmLimit); err != nil {
+		return err
+	}
 	sending, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	var work sync.WaitGroup
