Bound the stored details of refusals and of audit entries

Cause: by their limits, 64 refusals could hold several megabytes of values and reasons, and a list over the platform's 1 MB would have stopped every publication; an audit batch of control characters could be refused and dropped; a set with many '<' characters was stored at six times its size (a source of 200 KB became a set of 1.2 MB). Ruled out: leaving details out of the list, since an operator needs the object, the field and both revisions. Change: texts, problems and differences are clipped, the list drops its oldest entries above 512 KiB, audit batches hold 50 entries of 512-byte texts, and sets are encoded without HTML escapes. Before: a set with a 200 KB host was refused with code 503. After: it is refused with its own problem, and the list stays below 512 KiB with 64 refusals of 1000 conflicts each; go test -race ./... passes. Conclusion: no refusal can grow an object beyond the platform's limit.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -19,9 +19,10 @@
 // Limits of an auditor.
 const (
 	// batchEntries is the largest number of entries in one object; a batch costs one platform call.
-	batchEntries = 100
-	// maxText bounds the free text of an entry, so that a batch stays below the platform's value limit.
-	maxText = 1024
+	batchEntries = 50
+	// maxText bounds each text of an entry. A batch of 50 entries with 4 texts of 512 bytes, of which JSON may
+	// write each as 6, has at most 614 KB and stays below the platform's value limit.
+	maxText = 512
 	// maxObjects is the number of batches that Prune keeps.
 	maxObjects = 1000
 )
@@ -30,7 +31,7 @@
 type Options struct {
 	Platform connector.Platform
 	Clock    timekeeper.Clock
-	Random   *rand.Rand
+	Random   *rand.Rand // not shared with other parts
 	Log      *zap.Logger
 	Node     string // name of this node; distinguishes batches that nodes write at the same time
 	Queue    int    // entries kept in memory until they are written
--- a/internal/publisher/cycle.go
+++ b/internal/publisher/cycle.go
@@ -261,7 +261,9 @@
 // putRefusals writes the refusals' details before the head makes the refusals final.
 func (c *cycle) putRefusals(now timekeeper.Millis, object connector.Object) action {
 	for i := range c.plan.refused {
-		c.plan.refused[i].Time, c.plan.refused[i].Revision = now, c.snapshot.Revision
+		refusal := c.plan.refused[i].bound()
+		refusal.Time, refusal.Revision = now, c.snapshot.Revision
+		c.plan.refused[i] = refusal
 	}
 	content, err := mergeRefusals(object.Value, c.plan.refused)
 	if err != nil {
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -22,7 +22,7 @@
 type Options struct {
 	Platform connector.Platform
 	Clock    timekeeper.Clock
-	Random   *rand.Rand
+	Random   *rand.Rand // not shared with other parts
 	Log      *zap.Logger
 	Audit    Recorder
 	Node     string                      // name of this node, unique among publishers; the lease holds it
--- a/internal/publisher/refusal.go
+++ b/internal/publisher/refusal.go
@@ -13,12 +13,15 @@
 // refusalsName is the name of the object of kind status that lists refusals.
 const refusalsName = "refusals"
 
-// Limits of the stored list of refusals, which keep its object far below the platform's value limit.
+// Limits of the stored list of refusals, which keep its object below the platform's value limit: a list that could
+// not be written would stop every publication.
 const (
-	maxRefusals    = 64
-	maxProblems    = 16
-	maxDifferences = 16
-	maxValueText   = 200
+	maxRefusals     = 64
+	maxProblems     = 8
+	maxDifferences  = 8
+	maxText         = 500
+	maxValueText    = 200
+	maxRefusalBytes = 512 << 10
 )
 
 // Conflict states that a set edited a source that changed since its base revision.
@@ -75,7 +78,7 @@
 func problemRefusal(code classifier.Code, problems []compiler.Problem) Refusal {
 	first := problems[0]
 	return Refusal{
-		Code: code, Subject: first.Object, Field: first.Field, Problems: problems[:min(len(problems), maxProblems)],
+		Code: code, Subject: first.Object, Field: first.Field, Problems: problems,
 		Reason: fmt.Sprintf("%s (code %d; %d problems)", first.Reason, first.Code, len(problems)),
 	}
 }
@@ -91,23 +94,39 @@
 
 // bound shortens a refusal to what is stored.
 func (r Refusal) bound() Refusal {
-	conflicts := make([]Conflict, 0, len(r.Conflicts))
+	conflicts := make([]Conflict, 0, min(len(r.Conflicts), maxProblems))
 	for _, conflict := range r.Conflicts[:min(len(r.Conflicts), maxProblems)] {
-		differences := make([]compiler.Difference, 0, len(conflict.Differences))
+		differences := make([]compiler.Difference, 0, min(len(conflict.Differences), maxDifferences))
 		for _, item := range conflict.Differences[:min(len(conflict.Differences), maxDifferences)] {
-			item.Before, item.After = shorten(item.Before), shorten(item.After)
+			item.Path, item.Before, item.After = clip(item.Path), shorten(item.Before), shorten(item.After)
 			differences = append(differences, item)
 		}
 		conflict.Differences = differences
 		conflicts = append(conflicts, conflict)
 	}
-	r.Conflicts = conflicts
-	r.Field = r.Field[:min(len(r.Field), 4*maxValueText)]
+	problems := make([]compiler.Problem, 0, min(len(r.Problems), maxProblems))
+	for _, problem := range r.Problems[:min(len(r.Problems), maxProblems)] {
+		problem.Object, problem.Field = clip(problem.Object), clip(problem.Field)
+		problem.Reason = clip(problem.Reason)
+		problems = append(problems, problem)
+	}
+	r.Conflicts, r.Problems = conflicts, problems
+	r.Author, r.Subject, r.Field, r.Reason = clip(r.Author), clip(r.Subject), clip(r.Field), clip(r.Reason)
 	return r
 }
 
-// shorten replaces a value whose JSON is long by the start of that JSON.
+func clip(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxText], "") + "..."
+}
+
+// shorten replaces a long text by its start, and another value whose JSON is long by the start of that JSON.
 func shorten(value any) any {
+	if text, ok := value.(string); ok && len(text) > maxValueText {
+		return strings.ToValidUTF8(text[:maxValueText], "") + "..."
+	}
 	content, err := json.Marshal(value)
 	if err != nil || len(content) <= maxValueText {
 		return value
@@ -115,7 +134,7 @@
 	return strings.ToValidUTF8(string(content[:maxValueText]), "") + "..."
 }
 
-// mergeRefusals appends refusals to a stored list and keeps the newest. An unreadable list is started over.
+// mergeRefusals appends bounded refusals to a stored list and keeps the newest. An unreadable list is started over.
 func mergeRefusals(stored []byte, added []Refusal) ([]byte, error) {
 	var list []Refusal
 	if len(stored) > 0 && json.Unmarshal(stored, &list) != nil {
@@ -131,13 +150,16 @@
 			kept = append(kept, list[i])
 		}
 	}
-	for i := range added {
-		kept = append(kept, added[i].bound())
-	}
+	kept = append(kept, added...)
 	kept = kept[max(0, len(kept)-maxRefusals):]
-	content, err := json.Marshal(kept)
-	if err != nil {
-		return nil, classifier.Wrap(classifier.CodePlatformReply, refusalsName, err)
+	for {
+		content, err := json.Marshal(kept)
+		if err != nil {
+			return nil, classifier.Wrap(classifier.CodePlatformReply, refusalsName, err)
+		}
+		if len(content) <= maxRefusalBytes || len(kept) == 0 {
+			return content, nil
+		}
+		kept = kept[(len(kept)+1)/2:]
 	}
-	return content, nil
 }
--- a/internal/publisher/refusal_test.go
+++ b/internal/publisher/refusal_test.go
@@ -1,10 +1,13 @@
 package publisher
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 )
@@ -118,3 +121,36 @@
 		t.Errorf("first set is in version %d", result.Version)
 	}
 }
+
+// Guards against refusals whose details outgrow the platform's value limit, which would stop every publication.
+func TestLargeRefusalsDoNotStopPublication(t *testing.T) {
+	platform := faker.NewPlatform()
+	p, _ := testPublisher(platform, "node-1")
+	mustSubmit(t, p, "op-0", Edit{Name: "template.shop", Value: testTemplate})
+	long := strings.Repeat("<", 200_000)
+	for i := range 6 {
+		edit := Edit{Name: "account.a", Value: "account: a\ntemplate: shop\nhost: \"" + long + "\"\n"}
+		if i%2 == 0 {
+			edit.Base = 1 // conflicts, and differs in one long field
+		}
+		_, err := submit(t, p, fmt.Sprintf("bad-%d", i), edit)
+		if code := classifier.CodeOf(err); code != classifier.CodeSetRefused && code != classifier.CodeEditConflict {
+			t.Fatalf("set %d gave %v", i, err)
+		}
+	}
+	object, err := platform.Get(t.Context(), connector.KindStatus, refusalsName)
+	if err != nil || len(object.Value) > maxRefusalBytes {
+		t.Errorf("list of refusals has %d bytes, error %v", len(object.Value), err)
+	}
+	large := Refusal{Operation: "x", Conflicts: make([]Conflict, 1000)}
+	for i := range large.Conflicts {
+		large.Conflicts[i].Differences = make([]compiler.Difference, 1000)
+		for j := range large.Conflicts[i].Differences {
+			large.Conflicts[i].Differences[j] = compiler.Difference{Path: long, Before: long}
+		}
+	}
+	added := slices.Repeat([]Refusal{large.bound()}, maxRefusals)
+	if content, err := mergeRefusals(object.Value, added); err != nil || len(content) > maxRefusalBytes {
+		t.Errorf("merged list has %d bytes, error %v", len(content), err)
+	}
+}
--- a/internal/publisher/set.go
+++ b/internal/publisher/set.go
@@ -2,6 +2,7 @@
 package publisher
 
 import (
+	"bytes"
 	"encoding/json"
 	"regexp"
 	"strings"
@@ -79,6 +80,17 @@
 	return nil
 }
 
+// encode returns the stored form of the set. HTML escapes would make some sources six times as long.
+func (s *Set) encode() ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(s); err != nil {
+		return nil, classifier.Wrap(classifier.CodeBadRequest, SetPrefix+s.Operation, err)
+	}
+	return buffer.Bytes(), nil
+}
+
 // decodeSet reads a set object. The operation is always that of the object's name.
 func decodeSet(object connector.Object) (Set, error) {
 	operation := strings.TrimPrefix(object.Name, SetPrefix)
--- a/internal/publisher/submit.go
+++ b/internal/publisher/submit.go
@@ -69,9 +69,9 @@
 	if err := s.rebase(ctx); err != nil {
 		return err
 	}
-	content, err := json.Marshal(s.set)
+	content, err := s.set.encode()
 	if err != nil {
-		return classifier.Wrap(classifier.CodeBadRequest, SetPrefix+s.set.Operation, err)
+		return err
 	}
 	object := connector.Object{Kind: connector.KindSource, Name: SetPrefix + s.set.Operation, Value: content}
 	_, err = s.publisher.options.Platform.Put(ctx, object)
