forwarder: bound the read of a request body, test the stand-ins

Cause: a sender that stops in the middle of a body held its handler, and with it a drain, for good, at the entry node and at the host node.

Ruled out: resetting the read deadline after a failed read. The server then waits for the rest of the body before it responds; the response closes the connection instead. Also ruled out: an own HTTP client for the leg between nodes without http.Transport's two goroutines per connection.

Change: bodies are read within the call's deadline (code 204). Tests for HEAD, the link and the upstream stand-in; a benchmark of admission.

Conclusion: each handler of the request path ends by the call's deadline.

--- a/internal/admitter/machine_test.go
+++ b/internal/admitter/machine_test.go
@@ -180,3 +180,20 @@
 		}
 	})
 }
+
+// BenchmarkAdmit measures admission and release of one call on an idle queue, with all processors at one lock.
+func BenchmarkAdmit(b *testing.B) {
+	q := New(Options{Clock: timekeeper.System(), Slots: 1 << 20})
+	work := Work{Account: "a", Call: "c", Order: 1, Share: 50, Target: 200, Deadline: 1 << 60}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, err := q.Admit(context.Background(), work)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			release()
+		}
+	})
+}
--- /dev/null
+++ b/internal/faker/link_test.go
@@ -0,0 +1,137 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// echoing runs a test with a link to a server that sends back what it reads.
+func echoing(t *testing.T, options LinkOptions, test func(t *testing.T, l *Link, connect func() net.Conn)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork()
+		ctx, cancel := context.WithCancel(context.Background())
+		server, front := network.Listen("server"), network.Listen("front")
+		go func() {
+			for conn, err := server.Accept(); err == nil; conn, err = server.Accept() {
+				go func() {
+					_, _ = io.Copy(conn, conn)
+					_ = conn.Close()
+				}()
+			}
+		}()
+		l := NewLink(options, func(ctx context.Context) (net.Conn, error) { return network.Dial(ctx, "tcp", "server") })
+		go l.Serve(ctx, front)
+		test(t, l, func() net.Conn {
+			conn, err := network.Dial(t.Context(), "tcp", "front")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return conn
+		})
+		cancel()
+		_ = server.Close()
+	})
+}
+
+// trip sends text and returns how long its echo takes, or an error after 10 s.
+func trip(conn net.Conn, text string) (time.Duration, error) {
+	begun := time.Now()
+	_ = conn.SetDeadline(begun.Add(10 * time.Second))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, err
+	}
+	back := make([]byte, len(text))
+	_, err := io.ReadFull(conn, back)
+	if err == nil && string(back) != text {
+		err = io.ErrUnexpectedEOF
+	}
+	return time.Since(begun), err
+}
+
+// Guards against a link without its delay, or whose jitter and stalls change the order of bytes.
+func TestLinkDelaysInOrder(t *testing.T) {
+	options := LinkOptions{Delay: 4, Jitter: 3, Loss: 0.1, Stall: 200, Seed: 1}
+	echoing(t, options, func(t *testing.T, _ *Link, connect func() net.Conn) {
+		conn := connect()
+		stalls := 0
+		for range 100 {
+			took, err := trip(conn, "sixteen bytes...")
+			if err != nil || took < 8*time.Millisecond || took > 450*time.Millisecond {
+				t.Fatalf("%v after %v", err, took)
+			}
+			if took >= 200*time.Millisecond {
+				stalls++
+			}
+		}
+		if stalls < 5 || stalls > 50 {
+			t.Errorf("%d stalls in 200 pieces", stalls)
+		}
+	})
+}
+
+// Guards against silence that ends a connection, passes something on, or reaches new connections.
+func TestLinkSilence(t *testing.T) {
+	echoing(t, LinkOptions{}, func(t *testing.T, l *Link, connect func() net.Conn) {
+		old := connect()
+		if _, err := trip(old, "before"); err != nil {
+			t.Fatal(err)
+		}
+		l.Silence()
+		took, err := trip(old, "after")
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("on a silent connection: %v after %v", err, took)
+		}
+		if _, err = trip(connect(), "new"); err != nil {
+			t.Errorf("on a new connection: %v", err)
+		}
+		l.Cut()
+		if _, err = trip(old, "cut"); err == nil || l.Connections() != 2 {
+			t.Errorf("after the cut: %v, %d connections", err, l.Connections())
+		}
+	})
+}
+
+// Guards against an upstream that runs more than its slots, counts a shed request as a run, or ignores a cold start.
+func TestUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := NewUpstream(UpstreamOptions{
+			Slots: 2, Cold: timekeeper.Second, ColdTimes: 5,
+			Service: func(*http.Request) timekeeper.Millis { return 100 },
+		})
+		run := func(id string) int {
+			r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)
+			r.Header.Set("Jasmine-Id", id)
+			w := httptest.NewRecorder()
+			u.ServeHTTP(w, r)
+			return w.Code
+		}
+		begun := time.Now()
+		go run("a")
+		go run("b")
+		synctest.Wait()
+		if code := run("c"); code != http.StatusServiceUnavailable || u.Runs("c") != 0 || u.Running() != 2 {
+			t.Errorf("status %d, %d runs of the shed request, %d in progress", code, u.Runs("c"), u.Running())
+		}
+		<-time.After(time.Second)
+		if u.Ended("a") != 1 || u.Ended("b") != 1 {
+			t.Error("a run did not end")
+		}
+		if run("d"); time.Since(begun) != 1100*time.Millisecond {
+			t.Errorf("a warm run ended after %v", time.Since(begun))
+		}
+		if runs, most, shed := u.Totals(); runs != 3 || most != 2 || shed != 1 {
+			t.Errorf("%d runs, %d at once, %d shed", runs, most, shed)
+		}
+	})
+}
--- a/internal/forwarder/bench_test.go
+++ b/internal/forwarder/bench_test.go
@@ -39,8 +39,8 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// measure sends b.N requests at the rate, each in its own goroutine, and reports latency and CPU per call. At rate 0 each
-// request follows the one before it.
+// measure sends b.N requests at the rate, each in its own goroutine, and reports latency and CPU per call. At rate 0
+// each request follows the one before it.
 func measure(b *testing.B, address string, rate int, method, path, body string) {
 	b.Helper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -1,10 +1,13 @@
 package forwarder
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
+	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
@@ -31,7 +34,7 @@
 }
 
 // accept matches and validates a request. The call is returned with the error once its id is known.
-func (e *Entry) accept(r *http.Request) (*call, error) {
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request) (*call, error) {
 	view := e.Views.Active()
 	if view == nil || !e.Views.Ready() {
 		return nil, classifier.Refuse(classifier.CodeNotReady, e.Name, "the node has no confirmed configuration")
@@ -56,7 +59,7 @@
 	if err = e.limit(c, r, now); err != nil {
 		return c, err
 	}
-	if err = e.readBody(c, r); err != nil || e.Isolator == nil {
+	if err = e.readBody(c, w, r); err != nil || e.Isolator == nil {
 		return c, err
 	}
 	return c, e.Isolator.Check(isolator.Key{
@@ -110,17 +113,19 @@
 }
 
 // readBody reads the request body whole: its bytes go into the fingerprint and may be sent again.
-func (e *Entry) readBody(c *call, r *http.Request) error {
+func (e *Entry) readBody(c *call, w http.ResponseWriter, r *http.Request) error {
 	if r.ContentLength > e.MaxBody {
+		w.Header()["Connection"] = []string{"close"}
 		return classifier.Refuse(classifier.CodeBodyTooLarge, c.job.Call, "body has %d bytes, the limit is %d",
 			r.ContentLength, e.MaxBody)
 	}
 	if r.ContentLength != 0 && r.Body != nil {
 		c.body = buffers.get()
-		if err := fill(c.body, r.Body, r.ContentLength, e.MaxBody); err != nil {
-			return classifier.Refuse(classifier.CodeBadRequest, c.job.Call, "body ended early: %v", err)
+		if err := fillBy(w, c.deadline-e.Clock.Now(), c.body, r, e.MaxBody); err != nil {
+			return bodyFailure(c.job.Call, err)
 		}
 		if int64(len(c.body.bytes)) > e.MaxBody {
+			w.Header()["Connection"] = []string{"close"}
 			return classifier.Refuse(classifier.CodeBodyTooLarge, c.job.Call, "body is over the limit of %d bytes", e.MaxBody)
 		}
 	}
@@ -132,6 +137,28 @@
 	return nil
 }
 
+// fillBy reads the body of a request within a span: a sender that stops must not hold the handler for good.
+func fillBy(w http.ResponseWriter, span timekeeper.Millis, b *buffer, r *http.Request, limit int64) error {
+	control := http.NewResponseController(w)
+	bounded := control.SetReadDeadline(time.Now().Add(span.Duration())) == nil
+	err := fill(b, r.Body, r.ContentLength, limit)
+	if err != nil {
+		w.Header()["Connection"] = []string{"close"} // or the server would wait for the rest before it responds
+		return err
+	}
+	if bounded {
+		return control.SetReadDeadline(time.Time{})
+	}
+	return nil
+}
+
+func bodyFailure(subject string, err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return classifier.Refuse(classifier.CodeDeadlinePassed, subject, "the body did not arrive by the deadline")
+	}
+	return classifier.Refuse(classifier.CodeBadRequest, subject, "body ended early: %v", err)
+}
+
 // fill reads all of source into b. A length of -1 is not known, and then up to limit+1 bytes are read.
 func fill(b *buffer, source io.Reader, length, limit int64) error {
 	if length >= 0 {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -63,7 +63,7 @@
 		}
 		defer e.Gate.End()
 	}
-	c, err := e.accept(r)
+	c, err := e.accept(w, r)
 	if c != nil {
 		c.deliverShort, c.takeAny = e.deliverShort, e.takeAny
 		w.Header()[headerID] = []string{c.job.ID}
--- a/internal/forwarder/failure_test.go
+++ b/internal/forwarder/failure_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 func deduplicatorRecordOf(account string) deduplicator.Record {
@@ -297,3 +299,36 @@
 		})
 	}
 }
+
+// Guards against a sender that stops in the middle of a body and holds the handler, and with it a drain, for good.
+func TestStoppedSenderEndsByTheDeadline(t *testing.T) {
+	inBubble(t, nil, noLink, plain, func(t *testing.T, m *mesh) {
+		m.serve("entry:1", m.entry)
+		for address, head := range map[string]string{
+			"entry:1":  "POST /book HTTP/1.1\r\n",
+			"host-a:1": "POST /forward HTTP/1.1\r\n" + forwardHeaders(),
+		} {
+			conn, err := m.network.Dial(t.Context(), "tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			begun := time.Now()
+			_, _ = conn.Write([]byte(head + "Host: wick.example\r\nContent-Length: 100\r\n\r\npart"))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || response.Header.Get(headerCode) != "204" || time.Since(begun) > 2*time.Second {
+				t.Fatalf("%s: %+v, error %v after %v", address, response, err, time.Since(begun))
+			}
+			_ = response.Body.Close()
+			_ = conn.Close()
+		}
+	})
+}
+
+func forwardHeaders() string {
+	now := timekeeper.System().Now()
+	j := job{
+		ID: newID(now), Attempt: 1, Remaining: 500, Expires: now + 500, Account: "wick", Call: "book", Service: service,
+		Method: http.MethodPost,
+	}
+	return headerForward + ": " + j.encode() + "\r\n" + headerTarget + ": /book\r\n"
+}
--- a/internal/forwarder/header_test.go
+++ b/internal/forwarder/header_test.go
@@ -71,7 +71,7 @@
 			if recorder.Header().Get(headerCode) == "" {
 				t.Fatalf("entry node: status %d without a code", recorder.Code)
 			}
-			if c, err := entry.accept(request); err == nil && c.job.Call == "audit" && internal != "secret" {
+			if c, err := entry.accept(recorder, request); err == nil && c.job.Call == "audit" && internal != "secret" {
 				t.Fatal("an internal call came in from outside")
 			}
 			recorder = httptest.NewRecorder()
--- a/internal/forwarder/hop_test.go
+++ b/internal/forwarder/hop_test.go
@@ -52,6 +52,19 @@
 	})
 }
 
+// Guards against an answer to HEAD that loses its length or gets a body on its way.
+func TestHead(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "70000") }
+	inBubble(t, nil, noLink, []faker.UpstreamOptions{{Answer: answer}}, func(t *testing.T, m *mesh) {
+		for range 2 { // the second one shows that the connections are still in step
+			got := m.send(t.Context(), http.MethodHead, "/peek", "")
+			if got.Code != http.StatusOK || got.Header().Get("Content-Length") != "70000" || got.Body.Len() != 0 {
+				t.Errorf("status %d, %d bytes, header %v", got.Code, got.Body.Len(), got.Header())
+			}
+		}
+	})
+}
+
 // Guards against requests that get past the checks of the entry node, or refusals with a wrong number.
 func TestValidation(t *testing.T) {
 	future := newID(timekeeper.System().Now() + 60_000)
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -105,9 +105,9 @@
 	}
 	if r.ContentLength > 0 && r.ContentLength <= keptBytes {
 		x.body = buffers.get()
-		if err = fill(x.body, r.Body, r.ContentLength, keptBytes); err != nil {
+		if err = fillBy(w, j.Remaining, x.body, r, keptBytes); err != nil {
 			releaseBuffer(x.body)
-			return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "body ended early: %v", err)
+			return nil, bodyFailure(j.Call, err)
 		}
 	}
 	return x, nil
--- a/internal/forwarder/mesh_test.go
+++ b/internal/forwarder/mesh_test.go
@@ -73,7 +73,9 @@
 		Accounts: []compiler.Account{{
 			Name: "wick", Host: "wick.example",
 			Ranks: []compiler.Rank{{Name: "urgent", Order: 1, Share: 50}},
-			Calls: []compiler.Call{call("book", "POST", false), call("check", "GET", true), call("audit", "GET", true)},
+			Calls: []compiler.Call{
+				call("book", "POST", false), call("check", "GET", true), call("audit", "GET", true), call("peek", "HEAD", true),
+			},
 		}},
 	}
 }
