Measure against baseliner.Follower and shorten the tests

The platform's call counts are now by method and kind, which one test did not follow (it failed with 0 reads of the head instead of 40).

Change: tests use faker.Network and baseliner.Follower and share their start. No check was removed.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -37,6 +37,15 @@
 	return view, manifest, bodies
 }
 
+// prepare prepares a version of f.
+func prepare(t interface{ Fatal(...any) }, f *Follower, version uint64) compiler.View {
+	view, manifest, bodies := viewOf(t, version)
+	if err := f.Prepare(version, view.Digest, manifest, bodies); err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
 // whole reports whether all parts of the view are there and its digest fits.
 func whole(view *compiler.View) bool {
 	manifest, _, err := compiler.Sections(view)
@@ -91,10 +100,7 @@
 			for range rapid.IntRange(1, 30).Draw(t, "steps") {
 				version := rapid.Uint64Range(1, 8).Draw(t, "version")
 				if rapid.Bool().Draw(t, "prepare") {
-					view, manifest, bodies := viewOf(t, version)
-					if err := f.Prepare(version, view.Digest, manifest, bodies); err != nil {
-						t.Fatal(err)
-					}
+					prepare(t, f, version)
 				} else {
 					f.Commit(version)
 				}
@@ -120,10 +126,7 @@
 // Guards against two views under one version number, and against a version that is announced with another digest.
 func TestVersionHasOneDigest(t *testing.T) {
 	f := newFollower()
-	view, manifest, bodies := viewOf(t, 1)
-	if err := f.Prepare(1, view.Digest, manifest, bodies); err != nil {
-		t.Fatal(err)
-	}
+	view := prepare(t, f, 1)
 	other, manifest, bodies := viewOf(t, 2)
 	for _, version := range []uint64{1, 3} {
 		digest := map[uint64]string{1: other.Digest, 3: view.Digest}[version]
@@ -140,10 +143,7 @@
 func TestReadyNeedsFloor(t *testing.T) {
 	f := newFollower()
 	put := func(version uint64) {
-		view, manifest, bodies := viewOf(t, version)
-		if err := f.Prepare(version, view.Digest, manifest, bodies); err != nil {
-			t.Fatal(err)
-		}
+		prepare(t, f, version)
 		f.Commit(version)
 	}
 	put(1)
@@ -166,10 +166,7 @@
 func TestOldVersionsAreDropped(t *testing.T) {
 	f := newFollower()
 	for version := uint64(1); version <= 20; version++ {
-		view, manifest, bodies := viewOf(t, version)
-		if err := f.Prepare(version, view.Digest, manifest, bodies); err != nil {
-			t.Fatal(err)
-		}
+		prepare(t, f, version)
 		f.Commit(version)
 	}
 	if len(f.versions) != keep || f.Version(20) == nil || f.Version(20-keep) != nil {
@@ -180,7 +177,7 @@
 // Guards against a delta that changes its base, or is taken for another base.
 func TestDeltaNeedsItsBase(t *testing.T) {
 	f := newFollower()
-	first, manifest, bodies := viewOf(t, 1)
+	first, _, _ := viewOf(t, 1)
 	second, _, _ := viewOf(t, 2)
 	delta, err := compiler.Delta(&first, &second)
 	if err != nil {
@@ -189,9 +186,7 @@
 	if code := classifier.CodeOf(f.Apply(2, second.Digest, 1, delta)); code != classifier.CodeVersionMissing {
 		t.Errorf("delta without its base got code %d", code)
 	}
-	if err := f.Prepare(1, first.Digest, manifest, bodies); err != nil {
-		t.Fatal(err)
-	}
+	prepare(t, f, 1)
 	if code := classifier.CodeOf(f.Apply(2, first.Digest, 1, delta)); code != classifier.CodeViewDigest {
 		t.Errorf("delta with another digest got code %d", code)
 	}
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -39,8 +39,8 @@
 				t.Errorf("%s: got %q and %v, want code %d", c.method, reply.Text, err, c.code)
 			}
 		}
-		if network.Dials() > 2 {
-			t.Errorf("%d connections opened, want one and one after the refused request", network.Dials())
+		if network.dials > 2 {
+			t.Errorf("%d connections opened, want one and one after the refused request", network.dials)
 		}
 	})
 }
@@ -72,7 +72,7 @@
 func TestSilentConnectionIsUsedOnce(t *testing.T) {
 	for _, reuse := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			network := faker.NewPipes()
+			network := &network{Network: faker.NewNetwork()}
 			listener := network.Listen("peer")
 			requests := make(chan int, 10)
 			go func() {
@@ -94,7 +94,7 @@
 					}()
 				}
 			}()
-			client := NewClient(Options{Dial: network.Dial})
+			client := NewClient(Options{Dial: network.dial})
 			client.reuse = reuse
 			for range 3 {
 				err := client.Call(t.Context(), "peer", "Echo.Say", &text{}, &text{}, 500)
@@ -171,7 +171,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			client, _, network := start(t, "a")
-			conn, err := network.Dial(t.Context(), "peer")
+			conn, err := network.dial(t.Context(), "peer")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/messenger/network_test.go
+++ b/internal/messenger/network_test.go
@@ -1,6 +1,8 @@
 package messenger
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 
@@ -8,6 +10,17 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 )
 
+// network is a network in memory with one listener, which counts its connections.
+type network struct {
+	*faker.Network
+	dials int
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.dials++
+	return n.Dial(ctx, "tcp", address)
+}
+
 // echo is a receiver with one method for each way in which a call ends.
 type echo struct{ release chan struct{} }
 
@@ -35,9 +48,9 @@
 }
 
 // start serves an echo receiver in the given zone and returns a client of zone "a".
-func start(t *testing.T, zone string) (*Client, *Server, *faker.Pipes) {
+func start(t *testing.T, zone string) (*Client, *Server, *network) {
 	t.Helper()
-	network := faker.NewPipes()
+	network := &network{Network: faker.NewNetwork()}
 	server := NewServer(Options{Zone: zone})
 	receiver := &echo{release: make(chan struct{})}
 	if err := server.Register("Echo", receiver); err != nil {
@@ -46,7 +59,7 @@
 	web := &http.Server{Handler: server}
 	listener := network.Listen("peer")
 	go func() { _ = web.Serve(listener) }()
-	client := NewClient(Options{Zone: "a", Dial: network.Dial})
+	client := NewClient(Options{Zone: "a", Dial: network.dial})
 	t.Cleanup(func() {
 		close(receiver.release)
 		client.Close()
--- a/internal/relayer/assembly_test.go
+++ b/internal/relayer/assembly_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -27,10 +28,14 @@
 	killed   bool
 }
 
-func run(t *testing.T, network *faker.Pipes, name, zone string, platform *faker.Platform) *process {
+func run(t *testing.T, network *faker.Network, name, zone string, platform *faker.Platform) *process {
 	t.Helper()
 	clock := timekeeper.System()
-	client := messenger.NewClient(messenger.Options{Zone: zone, Dial: network.Dial})
+	client := messenger.NewClient(messenger.Options{
+		Zone: zone, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return network.Dial(ctx, "tcp", address)
+		},
+	})
 	server := messenger.NewServer(messenger.Options{Zone: zone})
 	f := follower.New(follower.Options{Clock: clock})
 	var r *Relayer
@@ -76,7 +81,7 @@
 func TestNodesOverMessenger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(t, 0, 0) // only its platform
-		network := faker.NewPipes()
+		network := faker.NewNetwork()
 		nodes := make([]*process, 12)
 		zone := func(i int) string { return fmt.Sprintf("zone-%d", i%2) }
 		for i := range nodes {
@@ -133,7 +138,7 @@
 func TestMembersOverMessenger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(t, 0, 0) // only its platform
-		network := faker.NewPipes()
+		network := faker.NewNetwork()
 		nodes := make([]*process, 5)
 		for i := range nodes {
 			nodes[i] = run(t, network, fmt.Sprintf("node-%d", i), "zone", m.platform)
--- a/internal/relayer/mesh_test.go
+++ b/internal/relayer/mesh_test.go
@@ -63,6 +63,20 @@
 	return m
 }
 
+// startMesh returns a mesh whose nodes all have a first version with five accounts in force.
+func startMesh(t testing.TB, zones, perZone int, off switches) *mesh {
+	t.Helper()
+	m := newMesh(t, zones, perZone)
+	for _, p := range m.nodes {
+		p.off = off
+	}
+	m.startAll()
+	if _, ok := m.await(m.publish(5), 5*timekeeper.Second); !ok {
+		t.Fatal("first version is not in force")
+	}
+	return m
+}
+
 func (m *mesh) close() {
 	m.stop()
 	m.done.Wait()
--- a/internal/relayer/message_test.go
+++ b/internal/relayer/message_test.go
@@ -9,18 +9,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
-	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
 // Guards against nonsense from a peer that changes the versions of a node or gets no numbered error.
 func TestNonsenseLeavesVersionsUntouched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1, 3)
-		m.startAll()
-		if _, ok := m.await(m.publish(2), 5*timekeeper.Second); !ok {
-			t.Fatal("first version is not in force")
-		}
+		m := startMesh(t, 1, 3, switches{})
 		node := m.nodes[2]
 		before := node.relayer.status()
 		c := &Receiver{relayer: node.relayer}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/baseliner"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
@@ -23,11 +25,7 @@
 		"suspected":  func(p *peer) { p.pause(true); p.setHealth(tracker.HealthSuspect) },
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 3, 10)
-			m.startAll()
-			if passed, ok := m.await(m.publish(3), 5*timekeeper.Second); !ok {
-				t.Fatalf("%s: first version is not in force after %d ms", name, passed)
-			}
+			m := startMesh(t, 3, 10, switches{})
 			fail(m.nodes[0])
 			passed, ok := m.await(m.publish(3), 3*timekeeper.Second)
 			if !ok {
@@ -43,14 +41,7 @@
 func TestRelaysPausedBetweenOfferAndCommit(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1, 9)
-			for _, p := range m.nodes {
-				p.off.selfCommit = off
-			}
-			m.startAll()
-			if _, ok := m.await(m.publish(2), 5*timekeeper.Second); !ok {
-				t.Fatal("first version is not in force")
-			}
+			m := startMesh(t, 1, 9, switches{selfCommit: off})
 			m.setDamage(func(method string, _ any) {
 				if method == "Relayer.Commit" {
 					m.nodes[0].pause(true)
@@ -73,14 +64,7 @@
 func TestDamagedDeltaLeadsToSections(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1, 5)
-			for _, p := range m.nodes {
-				p.off.sections = off
-			}
-			m.startAll()
-			if _, ok := m.await(m.publish(2), 5*timekeeper.Second); !ok {
-				t.Fatal("first version is not in force")
-			}
+			m := startMesh(t, 1, 5, switches{sections: off})
 			version := m.publishHead(2, func(h *publisher.Head) {
 				h.Delta = slices.Clone(h.Delta)
 				h.Delta[len(h.Delta)-1] ^= 0xff
@@ -100,11 +84,7 @@
 // Guards against a data centre without the platform that misses versions which another one has in force.
 func TestVersionArrivesFromOtherDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 2, 5)
-		m.startAll()
-		if _, ok := m.await(m.publish(2), 5*timekeeper.Second); !ok {
-			t.Fatal("first version is not in force")
-		}
+		m := startMesh(t, 2, 5, switches{})
 		for i := 1; i < len(m.nodes); i += 2 { // zone-1
 			m.nodes[i].cutOff(true)
 		}
@@ -126,11 +106,7 @@
 	calls := make(map[int]int)
 	for _, count := range []int{10, 67} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1, count)
-			m.startAll()
-			if _, ok := m.await(m.publish(5), 5*timekeeper.Second); !ok {
-				t.Fatal("first version is not in force")
-			}
+			m := startMesh(t, 1, count, switches{})
 			before := m.platformCalls()
 			m.takeBytes()
 			for range versions {
@@ -159,38 +135,38 @@
 	}
 }
 
-// naiveCalls returns the platform calls of nodes that each watch the head and read every section at each change.
+// naiveCalls returns the platform calls of nodes that each watch the sources and read them all at each change.
 func naiveCalls(t *testing.T, count, versions int) int {
 	t.Helper()
 	m := newMesh(t, 0, 0)
 	ctx, cancel := context.WithCancel(t.Context())
+	objects := make(map[string]connector.Object)
+	for _, name := range []string{"template.ledger", "account.ochre"} {
+		value, err := os.ReadFile("../../examples/ochre/" + name + ".yaml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		objects[name] = connector.Object{Kind: connector.KindSource, Name: name, Value: value}
+		if _, err := m.platform.Put(ctx, objects[name]); err != nil {
+			t.Fatal(err)
+		}
+	}
 	var work sync.WaitGroup
 	for range count {
-		work.Go(func() {
-			for after := uint64(0); ctx.Err() == nil; {
-				snapshot, err := m.platform.Watch(ctx, connector.KindHead, after, watchWait)
-				if err != nil || len(snapshot.Objects) == 0 {
-					continue
-				}
-				after = snapshot.Objects[0].Revision
-				head, err := publisher.DecodeHead(snapshot.Objects[0].Value)
-				if err != nil {
-					t.Error(err)
-				}
-				for _, entry := range head.Manifest {
-					_, _ = m.platform.Get(ctx, connector.KindSection, entry.Digest)
-				}
-			}
-		})
+		work.Go(func() { _ = baseliner.NewFollower(m.platform).Run(ctx) })
 	}
-	m.publish(5)
 	<-time.After(time.Second)
 	before := m.platformCalls()
+	account := objects["account.ochre"]
+	account.Revision = 2
 	for range versions {
-		m.publish(5)
+		var err error
+		if account.Revision, err = m.platform.Put(ctx, account); err != nil {
+			t.Fatal(err)
+		}
 		<-time.After(6 * time.Second)
 	}
-	calls := m.platformCalls() - before - versions*7
+	calls := m.platformCalls() - before - versions
 	cancel()
 	work.Wait()
 	return calls
@@ -200,12 +176,8 @@
 func TestMassRestartCallsPlatformOnceEach(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const restarted = 40
-		m := newMesh(t, 1, 67)
-		m.startAll()
-		version := m.publish(5)
-		if _, ok := m.await(version, 5*timekeeper.Second); !ok {
-			t.Fatal("first version is not in force")
-		}
+		m := startMesh(t, 1, 67, switches{})
+		version := m.view.Version
 		before := m.platform.Calls()
 		for _, p := range m.nodes[:restarted] {
 			p.kill()
@@ -218,8 +190,8 @@
 			ok = ok && p.follower.Ready()
 		}
 		calls := m.platform.Calls()
-		heads, sections := calls["list"]-before["list"], calls["get"]-before["get"]
-		watches := calls["watch"] - before["watch"]
+		heads, sections := calls["list head"]-before["list head"], calls["get section"]-before["get section"]
+		watches := calls["watch head"] - before["watch head"]
 		t.Logf("%d of 67 nodes restarted: head %d, sections %d, watches %d; in force after %d ms", restarted, heads,
 			sections, watches, passed)
 		// Two members take over as relays while the first two are down; each relay watches at most twice.
--- a/internal/relayer/startup_test.go
+++ b/internal/relayer/startup_test.go
@@ -15,11 +15,7 @@
 func TestRestartWithoutPlatformKeepsFloor(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1, 5)
-			m.startAll()
-			if _, ok := m.await(m.publish(2), 5*timekeeper.Second); !ok {
-				t.Fatal("first version is not in force")
-			}
+			m := startMesh(t, 1, 5, switches{})
 			m.nodes[4].pause(true) // misses the second version
 			second := m.publish(2)
 			if _, ok := m.await(second, 3*timekeeper.Second); !ok {
@@ -56,12 +52,7 @@
 func TestVersionNeedsMajority(t *testing.T) {
 	for _, off := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 1, 5)
-			m.startAll()
-			first := m.publish(2)
-			if _, ok := m.await(first, 5*timekeeper.Second); !ok {
-				t.Fatal("first version is not in force")
-			}
+			m := startMesh(t, 1, 5, switches{})
 			relay := m.nodes[0]
 			relay.relayer.off.majority = off
 			for _, p := range m.nodes[1:] {
@@ -92,12 +83,8 @@
 // floor: it must wait.
 func TestWholeDataCentreWaitsForPlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t, 1, 5)
-		m.startAll()
-		version := m.publish(2)
-		if _, ok := m.await(version, 5*timekeeper.Second); !ok {
-			t.Fatal("first version is not in force")
-		}
+		m := startMesh(t, 1, 5, switches{})
+		version := m.view.Version
 		m.platformDown(true)
 		for _, p := range m.nodes {
 			p.kill()
