--- a/internal/deduplicator/receiver.go
+++ b/internal/deduplicator/receiver.go
@@ -21,16 +21,25 @@
 		return err
 	}
 	v, r := c.service, &arguments.Record
-	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners
-	since := timekeeper.Millis(0)
-	if v.options.Since != nil {
-		since = v.options.Since()
-	}
-	*reply = v.store.Claim(v.options.Clock.Now(), since, agreed, r)
+	agreed := fingerprint(v.owners(r.ID, r.Account, r.Call)) == arguments.Owners &&
+		(arguments.Owner == v.options.Name || v.store.rules.anyName)
+	*reply = v.store.Claim(v.options.Clock.Now(), v.since(), agreed, r)
 	reply.Format = Format
 	return nil
 }
 
+// since returns the time from which this process counts as an owner, or 0 if it does not: it has not joined, or a newer
+// process has its name.
+func (v *Service) since() timekeeper.Millis {
+	if self, found := v.options.Directory.Find(v.options.Name); found && self.Incarnation > v.options.Incarnation {
+		return 0
+	}
+	if v.options.Since == nil {
+		return 0
+	}
+	return v.options.Since()
+}
+
 // Release frees the claim of an attempt that never started.
 func (c *Receiver) Release(arguments *ReleaseArguments, reply *Empty) error {
 	if err := check(arguments.Format, &arguments.Record); err != nil {
@@ -64,11 +73,12 @@
 	v := c.service
 	now := v.options.Clock.Now()
 	reply.Format = Format
-	if arguments.Host {
+	switch arguments.Host {
+	case "":
+		reply.Record = v.store.Lookup(now, arguments.ID)
+	case v.options.Name:
 		reply.Record = v.host.Certify(now, arguments.ID, arguments.Incarnation, arguments.Sequence)
-		return nil
 	}
-	reply.Record = v.store.Lookup(now, arguments.ID)
 	return nil
 }
 
--- a/internal/deduplicator/service.go
+++ b/internal/deduplicator/service.go
@@ -19,12 +19,13 @@
 	Directory   Directory
 	Placement   Placement
 	// Since returns the time from which this process counts as an owner: when it knew the members of its data centre
-	// and they knew it. 0 means not yet.
+	// and they knew it. 0 means not yet. A process stops being an owner when the directory lists a newer one of its name;
+	// until it hears of it, two processes of one name that run at the same time can grant one id twice.
 	Since   func() timekeeper.Millis
 	Bytes   int               // memory for records and answers, default 64 MiB
 	Window  timekeeper.Millis // memory window, default 10 min
 	Timeout timekeeper.Millis // per message, default 250 ms
-	Poll    timekeeper.Millis // between two looks at a running attempt, default 20 ms
+	Poll    timekeeper.Millis // average time between two looks at a running attempt, default 20 ms
 }
 
 // Defaults of Options.
@@ -45,8 +46,8 @@
 
 var _ Coordinator = (*Service)(nil)
 
-// New returns a service with empty memory. Half of the memory is for records of this node as an owner, half for the
-// attempts that it hosts.
+// New returns a service with empty memory. Three quarters of it are for records of this node as an owner and one
+// quarter for the attempts that it hosts, because each id has one host and three owners.
 func New(options Options) *Service {
 	options.Bytes = orDefault(options.Bytes, defaultBytes)
 	options.Window = orDefault(options.Window, defaultWindow)
@@ -54,8 +55,8 @@
 	options.Poll = orDefault(options.Poll, defaultPoll)
 	return &Service{
 		options: options,
-		store:   NewStore(options.Bytes/2, options.Window),
-		host:    NewHost(options.Name, options.Incarnation, options.Bytes/2, options.Window),
+		store:   NewStore(options.Bytes/4*3, options.Window),
+		host:    NewHost(options.Name, options.Incarnation, options.Bytes/4, options.Window),
 		random: sync.Pool{New: func() any {
 			return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		}},
@@ -109,7 +110,8 @@
 	return v.conflict(ctx, r, c.conflict), nil
 }
 
-// admit refuses ids that are malformed or whose birth is out of range, and requests past their deadline. Another node's
+// admit refuses ids that are malformed or whose birth is out of range, requests for another process and requests past
+// their deadline. Another node's
 // clock may be Skew behind or ahead of this one, so an id is surely not accepted anywhere only if it is born twice Skew
 // ahead.
 func (v *Service) admit(now timekeeper.Millis, r Request) (ID, Decision) {
@@ -123,12 +125,19 @@
 		return d, Refuse{classifier.Unknown(classifier.CodeIDFuture, r.ID, "born %d ms ahead", birth-now)}
 	case now-birth > v.options.Window:
 		return d, Refuse{classifier.Unknown(classifier.CodeIDExpired, r.ID, "born %d ms ago", now-birth)}
+	case !v.meant(r) && !v.store.rules.anyLife:
+		return d, Refuse{v.notRun(r, classifier.CodeNotReady, "the attempt was sent to another process")}
 	case r.Deadline != 0 && now >= r.Deadline:
 		return d, Refuse{v.notRun(r, classifier.CodeDeadlinePassed, "the deadline passed before the claim")}
 	}
 	return d, nil
 }
 
+// meant reports whether the attempt was sent to this process. Its address may have belonged to another one before.
+func (v *Service) meant(r Request) bool {
+	return r.Host == v.options.Name && r.Incarnation == v.options.Incarnation
+}
+
 // notRun refuses an attempt that did not run. The outcome of an id from a caller is unknown nevertheless, because the
 // caller may have presented it before.
 func (v *Service) notRun(r Request, code classifier.Code, reason string) *classifier.Error {
@@ -205,13 +214,14 @@
 	return v.complete(ctx, record)
 }
 
-// Settle tells the node that sent an attempt what became of it; see Host.Settle.
-func (v *Service) Settle(id string, attempt int) (Record, error) {
-	d, err := ParseID(id)
-	if err != nil {
-		return Record{}, err
+// Settle tells the entry node what became of an attempt that it sent to this node, after it lost contact. StateReleased
+// means that the attempt did not run and never will, and StateNone that this process cannot tell; see Host.Settle.
+func (v *Service) Settle(r Request) (Record, error) {
+	d, err := ParseID(r.ID)
+	if err != nil || !v.meant(r) && !v.store.rules.anyLife {
+		return Record{ID: d}, err
 	}
-	return v.host.Settle(v.options.Clock.Now(), d, attempt), nil
+	return v.host.Settle(v.options.Clock.Now(), d, r.Attempt), nil
 }
 
 // Bytes is the memory in use by records and answers.
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -5,12 +5,14 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 )
 
 // Guards against replies that reach the wrong call, errors that lose their code, a panic that ends the process and
@@ -70,11 +72,12 @@
 func TestSilentConnectionIsUsedOnce(t *testing.T) {
 	for _, reuse := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			network := newPipes()
+			network := &network{Network: faker.NewNetwork()}
+			listener := network.Listen("peer")
 			requests := make(chan int, 10)
 			go func() {
 				for id := 0; ; id++ {
-					conn, err := network.Accept()
+					conn, err := listener.Accept()
 					if err != nil {
 						return
 					}
@@ -108,7 +111,7 @@
 				t.Errorf("reuse %v: calls per connection %v", reuse, used)
 			}
 			client.Close()
-			_ = network.Close()
+			_ = listener.Close()
 		})
 	}
 }
@@ -168,7 +171,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			client, _, network := start(t, "a")
-			conn, err := network.dial(t.Context(), "")
+			conn, err := network.dial(t.Context(), "peer")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -213,3 +216,28 @@
 		_ = decode(read.Body, &value)
 	})
 }
+
+// BenchmarkCall measures one call over loopback, both ends included, on a kept connection and on a new one.
+func BenchmarkCall(b *testing.B) {
+	server := NewServer(Options{})
+	if err := server.Register("Echo", &echo{}); err != nil {
+		b.Fatal(err)
+	}
+	web := httptest.NewServer(server)
+	defer web.Close()
+	defer server.Close()
+	for name, kept := range map[string]bool{"kept": true, "new": false} {
+		b.Run(name, func(b *testing.B) {
+			client := NewClient(Options{})
+			defer client.Close()
+			client.pool.closed = !kept
+			b.ReportAllocs()
+			for b.Loop() {
+				err := client.Call(b.Context(), web.Listener.Addr().String(), "Echo.Say", &text{"hello"}, &text{}, 1000)
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/messenger/network_test.go
+++ b/internal/messenger/network_test.go
@@ -7,40 +7,18 @@
 	"testing"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 )
 
-// pipes is a listener whose connections are pipes in memory, so that tests run on the clock of testing/synctest.
-type pipes struct {
-	conns chan net.Conn
-	done  chan struct{}
+// network is a network in memory with one listener, which counts its connections.
+type network struct {
+	*faker.Network
 	dials int
 }
 
-func newPipes() *pipes {
-	return &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case conn := <-p.conns:
-		return conn, nil
-	case <-p.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error   { close(p.done); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (p *pipes) dial(ctx context.Context, _ string) (net.Conn, error) {
-	p.dials++
-	near, far := net.Pipe()
-	select {
-	case p.conns <- far:
-		return near, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.dials++
+	return n.Dial(ctx, "tcp", address)
 }
 
 // echo is a receiver with one method for each way in which a call ends.
@@ -70,16 +48,17 @@
 }
 
 // start serves an echo receiver in the given zone and returns a client of zone "a".
-func start(t *testing.T, zone string) (*Client, *Server, *pipes) {
+func start(t *testing.T, zone string) (*Client, *Server, *network) {
 	t.Helper()
-	network := newPipes()
+	network := &network{Network: faker.NewNetwork()}
 	server := NewServer(Options{Zone: zone})
 	receiver := &echo{release: make(chan struct{})}
 	if err := server.Register("Echo", receiver); err != nil {
 		t.Fatal(err)
 	}
 	web := &http.Server{Handler: server}
-	go func() { _ = web.Serve(network) }()
+	listener := network.Listen("peer")
+	go func() { _ = web.Serve(listener) }()
 	client := NewClient(Options{Zone: "a", Dial: network.dial})
 	t.Cleanup(func() {
 		close(receiver.release)
--- /dev/null
+++ b/internal/relayer/mesh_test.go
@@ -0,0 +1,293 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/faker"
+	"github.com/jasmineproxy/jasmineproxy/internal/follower"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// mesh runs relayers over a network in memory, on the clock of testing/synctest.
+type mesh struct {
+	t        testing.TB
+	mutex    sync.Mutex
+	platform *faker.Platform
+	nodes    []*peer
+	random   *rand.Rand
+	damage   func(method string, arguments any) // changes a message on its way
+	bytes    map[*peer]int                      // sent and received, with messageOverhead for each message
+	view     compiler.View
+	stop     context.CancelFunc
+	all      context.Context //nolint:containedctx // of the test
+	done     sync.WaitGroup
+}
+
+// peer is one node; member is what every other node sees of it.
+type peer struct {
+	mesh     *mesh
+	member   tracker.Member
+	relayer  *Relayer
+	follower *follower.Follower
+	paused   bool
+	cancel   context.CancelFunc
+	cut      bool // calls of the platform fail
+	off      switches
+}
+
+func newMesh(t testing.TB, zones, perZone int) *mesh {
+	t.Helper()
+	m := &mesh{
+		t: t, platform: faker.NewPlatform(), random: rand.New(rand.NewPCG(1, 1)), bytes: make(map[*peer]int),
+	}
+	m.all, m.stop = context.WithCancel(t.Context())
+	for i := range zones * perZone {
+		name := fmt.Sprintf("node-%03d", i)
+		m.nodes = append(m.nodes, &peer{mesh: m, member: tracker.Member{
+			Name: name, Peer: name, Zone: fmt.Sprintf("zone-%d", i%zones), Known: 1,
+		}})
+	}
+	t.Cleanup(m.close)
+	return m
+}
+
+// startMesh returns a mesh whose nodes all have a first version with five accounts in force.
+func startMesh(t testing.TB, zones, perZone int, off switches) *mesh {
+	t.Helper()
+	m := newMesh(t, zones, perZone)
+	for _, p := range m.nodes {
+		p.off = off
+	}
+	m.startAll()
+	if _, ok := m.await(m.publish(5), 5*timekeeper.Second); !ok {
+		t.Fatal("first version is not in force")
+	}
+	return m
+}
+
+func (m *mesh) close() {
+	m.stop()
+	m.done.Wait()
+}
+
+func (m *mesh) startAll() {
+	for _, p := range m.nodes {
+		p.start()
+	}
+}
+
+func clock() timekeeper.Clock { return timekeeper.System() }
+
+// start begins a new process of the peer, without any state of the one before.
+func (p *peer) start() {
+	p.follower = follower.New(follower.Options{Clock: clock()})
+	p.relayer = New(Options{
+		Name: p.member.Name, Zone: p.member.Zone, Peer: p.member.Peer, Caller: p, Members: p, Follower: p.follower,
+		Platform: access{p.mesh.platform, p}, Clock: clock(), Seed: p.mesh.random.Uint64(),
+	})
+	p.relayer.off = p.off
+	p.setHealth(tracker.HealthAlive)
+	ctx, cancel := context.WithCancel(p.mesh.all)
+	p.cancel = cancel
+	r := p.relayer
+	p.mesh.done.Go(func() { _ = r.Run(ctx) })
+}
+
+func (p *peer) kill() {
+	p.cancel()
+	p.setHealth(tracker.HealthFailed)
+}
+
+func (p *peer) setHealth(health tracker.Health) {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	p.member.Health = health
+}
+
+func (p *peer) pause(paused bool) {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	p.paused = paused
+}
+
+// Call implements messenger.Caller: messages pass through their encoding, and paused or failed nodes do not answer.
+func (p *peer) Call(ctx context.Context, address, method string, in, out any, timeout timekeeper.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	m := p.mesh
+	m.mutex.Lock()
+	damage := m.damage
+	m.mutex.Unlock()
+	if damage != nil {
+		damage(method, in)
+	}
+	m.mutex.Lock()
+	var to *peer
+	for _, other := range m.nodes {
+		if other.member.Peer == address && !other.paused && !p.paused && other.member.Health < tracker.HealthFailed {
+			to = other
+		}
+	}
+	m.mutex.Unlock()
+	if to == nil {
+		<-ctx.Done()
+		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
+	}
+	if err := connector.Sleep(ctx, 2); err != nil {
+		return classifier.Wrap(classifier.CodePeerTimeout, address, err)
+	}
+	done := make(chan error, 1)
+	content := m.count(in, p, to)
+	go func() { done <- to.receive(method, content, out) }()
+	select {
+	case err := <-done:
+		m.count(out, p, to)
+		return err
+	case <-ctx.Done():
+		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
+	}
+}
+
+// messageOverhead is what one message costs beside its own encoding: frame, method name and TCP and IP headers.
+const messageOverhead = 100
+
+// count encodes a message and adds its size at both ends.
+func (m *mesh) count(message any, ends ...*peer) []byte {
+	content, err := msgpack.Marshal(message)
+	if err != nil {
+		m.t.Error(err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, p := range ends {
+		m.bytes[p] += len(content) + messageOverhead
+	}
+	return content
+}
+
+func (p *peer) receive(method string, content []byte, out any) error {
+	receiver := &Receiver{relayer: p.relayer}
+	switch reply := out.(type) {
+	case *Status:
+		if method == "Relayer.Offer" {
+			return invoke(content, reply, receiver.Offer)
+		}
+		return invoke(content, reply, receiver.Commit)
+	case *FloorStatus:
+		return invoke(content, reply, receiver.Floor)
+	case *Fetched:
+		return invoke(content, reply, receiver.Fetch)
+	}
+	return fmt.Errorf("unknown method %s", method)
+}
+
+func invoke[A, R any](content []byte, reply *R, method func(*A, *R) error) error {
+	var arguments A
+	if err := msgpack.Unmarshal(content, &arguments); err != nil {
+		return err
+	}
+	return method(&arguments, reply)
+}
+
+// Zone implements Members.
+func (p *peer) Zone(name string) []tracker.Member {
+	p.mesh.mutex.Lock()
+	defer p.mesh.mutex.Unlock()
+	var members []tracker.Member
+	for _, other := range p.mesh.nodes {
+		if other.member.Zone == name {
+			members = append(members, other.member)
+		}
+	}
+	return members
+}
+
+// Find implements Members.
+func (p *peer) Find(string) (tracker.Member, bool) { return tracker.Member{}, false }
+
+// Joined implements Members.
+func (p *peer) Joined() bool { return true }
+
+// Observe implements Members.
+func (p *peer) Observe(map[string]uint64) {}
+
+// IsRelay implements Members: the first two live members of the data centre are its relays.
+func (p *peer) IsRelay() bool {
+	return slices.ContainsFunc(p.Relays(p.member.Zone), func(m tracker.Member) bool { return m.Name == p.member.Name })
+}
+
+// Relays implements Members.
+func (p *peer) Relays(zone string) []tracker.Member {
+	var relays []tracker.Member
+	for _, m := range p.Zone(zone) {
+		if m.Health == tracker.HealthAlive && len(relays) < 2 {
+			relays = append(relays, m)
+		}
+	}
+	return relays
+}
+
+func (m *mesh) setDamage(damage func(method string, arguments any)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.damage = damage
+}
+
+func (m *mesh) platformCalls() int {
+	sum := 0
+	for _, count := range m.platform.Calls() {
+		sum += count
+	}
+	return sum
+}
+
+// takeBytes returns the mean and the highest number of bytes per node since the last call.
+func (m *mesh) takeBytes() (mean, highest int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, bytes := range m.bytes {
+		mean, highest = mean+bytes, max(highest, bytes)
+	}
+	clear(m.bytes)
+	return mean / len(m.nodes), highest
+}
+
+// platformDown makes every call of the platform fail, or work again.
+func (m *mesh) platformDown(down bool) {
+	m.platform.SetFault(func(faker.Operation) faker.Fault { return faker.Fault{Refuse: down} })
+}
+
+// await advances until the version is in force on all nodes that can have it, and returns the time in ms, or false
+// after the limit.
+func (m *mesh) await(version uint64, limit timekeeper.Millis) (timekeeper.Millis, bool) {
+	for passed := timekeeper.Millis(0); passed < limit; passed += 20 {
+		if m.inForce(version) {
+			return passed, true
+		}
+		<-time.After(20 * time.Millisecond)
+	}
+	return limit, m.inForce(version)
+}
+
+func (m *mesh) inForce(version uint64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, p := range m.nodes {
+		if p.member.Health < tracker.HealthFailed && !p.paused && p.follower.ActiveVersion() < version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/relayer/relayer_test.go
@@ -0,0 +1,202 @@
+package relayer
+
+import (
+	"context"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/baseliner"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// Guards against versions that do not reach every node in time, without failures and with a paused or killed relay.
+func TestVersionIsInForceEverywhere(t *testing.T) {
+	for name, fail := range map[string]func(p *peer){
+		"no failure": func(*peer) {},
+		"paused":     func(p *peer) { p.pause(true) },
+		"killed":     func(p *peer) { p.kill() },
+		"suspected":  func(p *peer) { p.pause(true); p.setHealth(tracker.HealthSuspect) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := startMesh(t, 3, 10, switches{})
+			fail(m.nodes[0])
+			passed, ok := m.await(m.publish(3), 3*timekeeper.Second)
+			if !ok {
+				t.Errorf("%s: version is not in force after %d ms", name, passed)
+			}
+			t.Logf("%s: %d ms", name, passed)
+		})
+	}
+}
+
+// Guards against a version that stops because the relays were paused between offer and commit. Without the members'
+// own commit it stops.
+func TestRelaysPausedBetweenOfferAndCommit(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := startMesh(t, 1, 9, switches{selfCommit: off})
+			m.setDamage(func(method string, _ any) {
+				if method == "Relayer.Commit" {
+					m.nodes[0].pause(true)
+					m.nodes[1].pause(true)
+				}
+			})
+			version := m.publish(2)
+			passed, ok := m.await(version, 3*timekeeper.Second)
+			if !m.nodes[0].paused || !m.nodes[1].paused {
+				t.Fatal("relays were not paused")
+			}
+			if ok == off {
+				t.Errorf("late commit off %v: in force on all other nodes after %d ms is %v", off, passed, ok)
+			}
+		})
+	}
+}
+
+// Guards against a damaged delta that keeps a node from a version. Without the fetch of sections it does.
+func TestDamagedDeltaLeadsToSections(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := startMesh(t, 1, 5, switches{sections: off})
+			version := m.publishHead(2, func(h *publisher.Head) {
+				h.Delta = slices.Clone(h.Delta)
+				h.Delta[len(h.Delta)-1] ^= 0xff
+			})
+			if passed, ok := m.await(version, 3*timekeeper.Second); ok == off {
+				t.Errorf("sections off %v: in force after %d ms is %v", off, passed, ok)
+			}
+			for _, p := range m.nodes {
+				if v := p.follower.Version(version); v != nil && v.View.Digest != m.view.Digest {
+					t.Errorf("%s holds digest %s", p.member.Name, v.View.Digest)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a data centre without the platform that misses versions which another one has in force.
+func TestVersionArrivesFromOtherDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startMesh(t, 2, 5, switches{})
+		for i := 1; i < len(m.nodes); i += 2 { // zone-1
+			m.nodes[i].cutOff(true)
+		}
+		version := m.publish(2)
+		if _, ok := m.await(version, 3*timekeeper.Second); ok {
+			t.Fatal("data centre without the platform has the version by itself")
+		}
+		m.nodes[1].relayer.Heard(m.nodes[0].member, version) // what a ping between relays brings
+		if passed, ok := m.await(version, 3*timekeeper.Second); !ok {
+			t.Errorf("version is not in force after %d ms", passed)
+		}
+	})
+}
+
+// Guards against platform calls that grow with the nodes of a data centre. In a naive version, in which each node
+// watches the head and reads the sections itself, they do.
+func TestPlatformCallsDoNotGrowWithNodes(t *testing.T) {
+	const versions = 10
+	calls := make(map[int]int)
+	for _, count := range []int{10, 67} {
+		synctest.Test(t, func(t *testing.T) {
+			m := startMesh(t, 1, count, switches{})
+			before := m.platformCalls()
+			m.takeBytes()
+			for range versions {
+				if _, ok := m.await(m.publish(5), 3*timekeeper.Second); !ok {
+					t.Fatal("version is not in force")
+				}
+				<-time.After(6 * time.Second)
+			}
+			// The test's own calls: five sections, a read and a write of the head per version.
+			calls[count] = m.platformCalls() - before - versions*7
+			naive := naiveCalls(t, count, versions)
+			mean, highest := m.takeBytes()
+			t.Logf("%d nodes: %d platform calls in %d versions, naive %d; bytes per version: mean %d, highest %d", count,
+				calls[count], versions, naive, mean/versions, highest/versions)
+			if naive < versions*count {
+				t.Errorf("%d nodes: naive version makes only %d platform calls", count, naive)
+			}
+			// With 10 versions a minute, and with 3 KB/s left for membership.
+			if rate := highest / versions / 6; rate > 26_000 {
+				t.Errorf("%d nodes: node with the most traffic has %d bytes/s", count, rate)
+			}
+		})
+	}
+	if calls[67] > calls[10]+versions/2 {
+		t.Errorf("platform calls by nodes: %v", calls)
+	}
+}
+
+// naiveCalls returns the platform calls of nodes that each watch the sources and read them all at each change.
+func naiveCalls(t *testing.T, count, versions int) int {
+	t.Helper()
+	m := newMesh(t, 0, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	objects := make(map[string]connector.Object)
+	for _, name := range []string{"template.ledger", "account.ochre"} {
+		value, err := os.ReadFile("../../examples/ochre/" + name + ".yaml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		objects[name] = connector.Object{Kind: connector.KindSource, Name: name, Value: value}
+		if _, err := m.platform.Put(ctx, objects[name]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var work sync.WaitGroup
+	for range count {
+		work.Go(func() { _ = baseliner.NewFollower(m.platform).Run(ctx) })
+	}
+	<-time.After(time.Second)
+	before := m.platformCalls()
+	account := objects["account.ochre"]
+	account.Revision = 2
+	for range versions {
+		var err error
+		if account.Revision, err = m.platform.Put(ctx, account); err != nil {
+			t.Fatal(err)
+		}
+		<-time.After(6 * time.Second)
+	}
+	calls := m.platformCalls() - before - versions
+	cancel()
+	work.Wait()
+	return calls
+}
+
+// Guards against a storm of platform calls when many nodes return at once: each reads the head and no section.
+func TestMassRestartCallsPlatformOnceEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const restarted = 40
+		m := startMesh(t, 1, 67, switches{})
+		version := m.view.Version
+		before := m.platform.Calls()
+		for _, p := range m.nodes[:restarted] {
+			p.kill()
+		}
+		for _, p := range m.nodes[:restarted] {
+			p.start()
+		}
+		passed, ok := m.await(version, 5*timekeeper.Second)
+		for _, p := range m.nodes {
+			ok = ok && p.follower.Ready()
+		}
+		calls := m.platform.Calls()
+		heads, sections := calls["list head"]-before["list head"], calls["get section"]-before["get section"]
+		watches := calls["watch head"] - before["watch head"]
+		t.Logf("%d of 67 nodes restarted: head %d, sections %d, watches %d; in force after %d ms", restarted, heads,
+			sections, watches, passed)
+		// Two members take over as relays while the first two are down; each relay watches at most twice.
+		if !ok || heads != restarted || sections > 0 || watches > 8 {
+			t.Errorf("all ready is %v", ok)
+		}
+	})
+}
