forwarder: pass a host node's reason on, golden file of failures

Cause: a refusal by a host node reached the caller with its JSON nested as text in the reason.

Ruled out: sending the reason in a header, since it can hold any text.

Change: the entry node decodes the failure. A golden file shows what callers see of each code.

--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -106,20 +107,24 @@
 // refused turns a response that is no answer of the upstream into a failure.
 func (e *ending) refused(c *call, response *http.Response, outcome string) {
 	defer func() { _ = response.Body.Close() }()
-	reason, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+	content, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+	var told classifier.Error
+	if json.Unmarshal(content, &told) != nil {
+		told.Reason = "the host node gave no reason"
+	}
 	code, err := strconv.Atoi(response.Header.Get(headerCode))
 	wait, _ := decodeMillis(response.Header, headerWait, 0)
 	e.died = response.Header.Get(headerDied) != ""
 	c.certain = c.certain || response.Header.Get(headerCertain) != ""
 	if err != nil || outcome != string(classifier.OutcomeNotRun) {
-		e.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "%s", reason)
+		e.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "%s", told.Reason)
 		if err == nil {
 			e.failure.Code = classifier.Code(code)
 		}
 		return
 	}
 	e.wait = wait
-	e.failure = classifier.Refuse(classifier.Code(code), c.job.Call, "%s", reason)
+	e.failure = classifier.Refuse(classifier.Code(code), c.job.Call, "%s", told.Reason)
 	if wait > 0 {
 		e.failure.Cause = &admitter.RetryError{After: wait}
 	}
--- a/internal/forwarder/failure_test.go
+++ b/internal/forwarder/failure_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -205,6 +206,9 @@
 		if got.Header().Get(headerCode) != "222" || outcomeOf(got) != classifier.OutcomeNotRun {
 			t.Errorf("while draining: %d %s", got.Code, got.Body)
 		}
+		if want := `"reason":"the node is draining"}`; !strings.HasSuffix(got.Body.String(), want) {
+			t.Errorf("the reason of the host node is lost: %s", got.Body)
+		}
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
--- /dev/null
+++ b/internal/forwarder/golden_test.go
@@ -0,0 +1,42 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+)
+
+// Guards against a change of what callers see of a failure: status, code, outcome, hint and body. After a wanted change
+// the new text goes to testdata/failures.golden.
+func TestFailuresAsCallersSeeThem(t *testing.T) {
+	overload := classifier.Refuse(classifier.CodeOverload, "book", "the queue is too long")
+	overload.Cause = &admitter.RetryError{After: 1200}
+	failures := append(make([]*classifier.Error, 0, 32), overload)
+	for _, code := range []classifier.Code{201, 202, 203, 204, 205, 206, 207, 208, 221, 222, 223, 224, 225, 231} {
+		failures = append(failures, classifier.Refuse(code, "book", "refused"))
+	}
+	for _, code := range []classifier.Code{209, 210, 212, 240, 241, 242} {
+		failures = append(failures, classifier.Unknown(code, "book", "lost"))
+	}
+	var text strings.Builder
+	for _, failure := range failures {
+		w := httptest.NewRecorder()
+		writeFailure(w, failure, 0)
+		fmt.Fprintf(&text, "%d code %s outcome %s retry %q %s\n", w.Code, w.Header().Get(headerCode), outcomeOf(w),
+			w.Header().Get("Retry-After"), w.Body)
+	}
+	want, err := os.ReadFile("testdata/failures.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), text.String()); diff != "" {
+		t.Errorf("failures differ (-want +got):\n%s", diff)
+	}
+}
