admitter: the strict limit on the wait applies to floods only

Cause: the limit of half a target less one service time also refused work at ordinary load that would have been served within its target.

Ruled out: the whole target as the limit at all times; in a flood the queue stays at the limit and most answers are late.

Change: a rank whose queue was empty within the last target gets the target less one service time, at least half of it.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -18,7 +18,7 @@
 	actions []Action
 
 	// Switches of mechanisms, set by tests only.
-	noRanks, noShares, noTurns, noEstimate, noPhases bool
+	noRanks, noShares, noTurns, noEstimate, noPhases, alwaysStrict bool
 }
 
 // NewMachine returns a machine with free slots and, per rank, room for limit waiting pieces of work.
@@ -97,6 +97,9 @@
 	}
 	t.phase = phaseWaiting
 	m.queued++
+	if r.queued == 0 {
+		r.since = now
+	}
 	r.push(t)
 }
 
@@ -106,14 +109,23 @@
 	wait := m.wait(now, t)
 	late := now + wait + timekeeper.Millis(t.flow.service) - t.Deadline
 	if t.Target > 0 {
-		// In a flood the queue stays at the limit, and both the estimate and the service time vary: a limit at the
-		// target itself made four of five started answers late at 10 times capacity.
-		service := timekeeper.Millis(t.flow.service)
-		late = max(late, wait-max(t.Target/2-service, t.Target/4))
+		late = max(late, wait-m.patience(now, t))
 	}
 	return max(late, 0)
 }
 
+// patience is the estimated wait up to which work with a target is queued. In a flood the queue stays at this limit,
+// and both the estimate and the service time vary: a limit at the target itself made four of five started answers late
+// at 10 times capacity. A short queue at ordinary load is given the whole target.
+func (m *Machine) patience(now timekeeper.Millis, t *Ticket) timekeeper.Millis {
+	service := timekeeper.Millis(t.flow.service)
+	r := m.rank(t)
+	if m.alwaysStrict || r.queued > 0 && now-r.since > t.Target {
+		return max(t.Target/2-service, t.Target/4)
+	}
+	return max(t.Target-service, t.Target/2)
+}
+
 // makeRoom refuses the last work of the longest flow of a full rank if that flow is longer than the one of t.
 func (m *Machine) makeRoom(now timekeeper.Millis, r *rank, t *Ticket) bool {
 	last := r.longest()
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -15,6 +15,7 @@
 	queued  int
 	ring    ring // accounts with waiting work
 	flows   map[flowKey]*flow
+	since   timekeeper.Millis // when the queue was empty last
 	starts  window
 	service float64 // average service time, ms
 }
--- a/internal/admitter/simulation_test.go
+++ b/internal/admitter/simulation_test.go
@@ -200,3 +200,22 @@
 		t.Errorf("without the estimate goodput is %.3f too", flood/once)
 	}
 }
+
+// Guards against refusals at ordinary load, where a short queue would have been served within the target.
+func TestFewRefusalsAtOrdinaryLoad(t *testing.T) {
+	run := func(adjust func(*Machine)) (refused, onTime float64) {
+		slow := load("urgent", 0.7/2.5, urgent) // of two and a half times the service time
+		slow.service = 50
+		got := simulate(adjust, 200_000, slow)["urgent"]
+		return float64(got.refused) / float64(got.arrived), got.ratio()
+	}
+	refused, onTime := run(nil)
+	strict, less := run(func(m *Machine) { m.alwaysStrict = true })
+	t.Logf("refused %.4f, on time %.4f; with the limit for floods %.4f and %.4f", refused, onTime, strict, less)
+	if refused > 0.005 || onTime < 0.99 {
+		t.Errorf("refused %.4f, on time %.4f", refused, onTime)
+	}
+	if strict < 2*refused || less > onTime {
+		t.Errorf("with the limit for floods refused %.4f, on time %.4f", strict, less)
+	}
+}
