Lose, repeat and delay messages in the test of versions

Change: up to 30% of the calls are lost, half of them after they took effect, and as many are delivered a second time up to 1.5 s later. A pause hits a random part of the nodes at once, so that minorities remain.

--- a/internal/relayer/mesh_test.go
+++ b/internal/relayer/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 	platform *faker.Platform
 	nodes    []*peer
 	random   *rand.Rand
+	loss     float64                            // share of calls that get no answer, half of them after they took effect
 	damage   func(method string, arguments any) // changes a message on its way
 	bytes    map[*peer]int                      // sent and received, with messageOverhead for each message
 	view     compiler.View
@@ -92,16 +94,20 @@
 
 // start begins a new process of the peer, without any state of the one before.
 func (p *peer) start() {
-	p.follower = follower.New(follower.Options{Clock: clock()})
-	p.relayer = New(Options{
-		Name: p.member.Name, Zone: p.member.Zone, Peer: p.member.Peer, Caller: p, Members: p, Follower: p.follower,
-		Platform: access{p.mesh.platform, p}, Clock: clock(), Seed: p.mesh.random.Uint64(),
+	p.mesh.mutex.Lock()
+	seed := p.mesh.random.Uint64()
+	p.mesh.mutex.Unlock()
+	f := follower.New(follower.Options{Clock: clock()})
+	r := New(Options{
+		Name: p.member.Name, Zone: p.member.Zone, Peer: p.member.Peer, Caller: p, Members: p, Follower: f,
+		Platform: access{p.mesh.platform, p}, Clock: clock(), Seed: seed,
 	})
-	p.relayer.off = p.off
-	p.setHealth(tracker.HealthAlive)
+	r.off = p.off
+	p.mesh.mutex.Lock()
+	p.relayer, p.follower, p.member.Health = r, f, tracker.HealthAlive
+	p.mesh.mutex.Unlock()
 	ctx, cancel := context.WithCancel(p.mesh.all)
 	p.cancel = cancel
-	r := p.relayer
 	p.mesh.done.Go(func() { _ = r.Run(ctx) })
 }
 
@@ -140,8 +146,18 @@
 			to = other
 		}
 	}
+	lost := m.random.Float64() < m.loss
+	effective, twice := m.random.Float64() < 0.5, m.random.Float64() < m.loss
 	m.mutex.Unlock()
-	if to == nil {
+	if to != nil && (twice || lost && effective) {
+		content := m.count(in, p, to)
+		go func() { // a second delivery, or one whose answer is lost, at a later time
+			if connector.Sleep(m.all, m.later()) == nil {
+				_ = to.receive(method, content, reflect.New(reflect.TypeOf(out).Elem()).Interface())
+			}
+		}()
+	}
+	if to == nil || lost {
 		<-ctx.Done()
 		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
 	}
@@ -160,6 +176,13 @@
 	}
 }
 
+// later returns a random delay in ms.
+func (m *mesh) later() timekeeper.Millis {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return timekeeper.Millis(m.random.Int64N(1500))
+}
+
 // messageOverhead is what one message costs beside its own encoding: frame, method name and TCP and IP headers.
 const messageOverhead = 100
 
@@ -178,7 +201,9 @@
 }
 
 func (p *peer) receive(method string, content []byte, out any) error {
+	p.mesh.mutex.Lock()
 	receiver := &Receiver{relayer: p.relayer}
+	p.mesh.mutex.Unlock()
 	switch reply := out.(type) {
 	case *Status:
 		if method == "Relayer.Offer" {
--- a/internal/relayer/startup_test.go
+++ b/internal/relayer/startup_test.go
@@ -103,12 +103,13 @@
 	})
 }
 
-// Guards against a version that goes back on any node, over restarts and platform outages in random order, and against
-// a view that is not the published one.
+// Guards against a version that goes back on any node, over restarts, pauses, platform outages and lost, duplicated and
+// delayed messages, and against a view that is not the published one.
 func TestVersionNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, 2, 5)
+			m := newMesh(t, 1, 5)
+			m.loss = rapid.Float64Range(0, 0.3).Draw(r, "loss")
 			m.startAll()
 			digests := map[uint64]string{}
 			publish := func() { digests[m.publish(2)] = m.view.Digest }
@@ -125,10 +126,14 @@
 				case "restart":
 					p.kill()
 					p.start()
-				case "pause":
-					p.pause(true)
+				case "pause": // any part of the nodes, so that minorities remain
+					for _, p := range m.nodes {
+						p.pause(rapid.Bool().Draw(r, "paused"))
+					}
 				case "resume":
-					p.pause(false)
+					for _, p := range m.nodes {
+						p.pause(false)
+					}
 				case "platform":
 					down = !down
 					m.platformDown(down)
@@ -148,6 +153,9 @@
 				}
 			}
 			m.platformDown(false)
+			m.mutex.Lock()
+			m.loss = 0
+			m.mutex.Unlock()
 			for _, p := range m.nodes {
 				p.pause(false)
 			}
