--- a/tools/bench/load.go
+++ b/tools/bench/load.go
@@ -103,15 +103,18 @@
 	})
 }
 
-// send sends one request until it has a typed outcome, with the same id each time.
+// send sends one request until it has a typed outcome, with the same id each time but through different nodes.
 func (l *Load) send(target *Target, id string, extra http.Header) Ending {
 	begun := time.Now()
 	end := Ending{Target: target, ID: id, Outcome: classifier.OutcomeUnknown, Code: "connection"}
 	ctx, cancel := context.WithTimeout(context.Background(), (target.Timeout + timekeeper.Second).Duration())
 	defer cancel()
+	entries := l.Entries[target.Service]
+	first := rand.IntN(len(entries))
 	for sends := range maxSends {
 		end.Resent = sends > 0
-		if l.exchange(ctx, target, id, extra, &end) == nil {
+		entry := entries[(first+sends)%len(entries)]
+		if l.exchange(ctx, entry, target, id, extra, &end) == nil {
 			break
 		}
 	}
@@ -121,9 +124,10 @@
 }
 
 // exchange makes one HTTP exchange and fills in the ending. An error means that the connection broke.
-func (l *Load) exchange(ctx context.Context, target *Target, id string, extra http.Header, end *Ending) error {
-	entries := l.Entries[target.Service]
-	url := "http://" + entries[rand.IntN(len(entries))] + target.Path
+func (l *Load) exchange(
+	ctx context.Context, entry string, target *Target, id string, extra http.Header, end *Ending,
+) error {
+	url := "http://" + entry + target.Path
 	request, err := http.NewRequestWithContext(ctx, target.Method, url, strings.NewReader(bodyOf(target, id)))
 	if err != nil {
 		return err
