Lengthen the waits between offers that get no answer

Cause: in a minority every node asks every member that does not answer, and did so at a fixed pace.

Ruled out: a breach of the traffic limit.

Change: the wait between two rounds doubles from 300 to 1,500 ms, with jitter. The test counts requests that get no answer as well.

The version is in force within 3 s after the majority is back.

--- a/internal/relayer/mesh_test.go
+++ b/internal/relayer/mesh_test.go
@@ -158,6 +158,7 @@
 		}()
 	}
 	if to == nil || lost {
+		m.count(in, p)
 		<-ctx.Done()
 		return classifier.Wrap(classifier.CodePeerTimeout, address, ctx.Err())
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -26,13 +26,16 @@
 	obtainPatience = 300
 	// commitPatience is how long a prepared version waits for the relay's commit, with up to as much jitter again.
 	commitPatience = 500
-	retrySpan      = 300  // between two rounds of offers to members that have not answered
-	spreadSpan     = 5000 // after this, members that still lag catch up through pings
-	pollSpan       = 100
-	joinPatience   = 3000 // after this, a node that found no other one takes itself to be the first
-	watchWait      = 25 * timekeeper.Second
-	watchMargin    = 2 * timekeeper.Second
-	headTimeout    = 2 * timekeeper.Second
+	// retrySpan is the wait between the first two rounds of offers to members that have not answered. It doubles up to
+	// retryMax, so that the nodes of a minority, which all ask each other, stay within their traffic.
+	retrySpan    = 300
+	retryMax     = 1500
+	spreadSpan   = 5000 // after this, members that still lag catch up through pings
+	pollSpan     = 100
+	joinPatience = 3000 // after this, a node that found no other one takes itself to be the first
+	watchWait    = 25 * timekeeper.Second
+	watchMargin  = 2 * timekeeper.Second
+	headTimeout  = 2 * timekeeper.Second
 	// watchBackoff bounds the wait of the few relays after a failed watch. With the 10 s of other platform calls, a
 	// change would miss its 3 s after an outage.
 	watchBackoff = 1500
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -200,3 +200,30 @@
 		}
 	})
 }
+
+// Guards against a minority whose nodes ask each other so often that they exceed the traffic of a node.
+func TestMinorityStaysWithinTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startMesh(t, 1, 67, switches{})
+		for _, p := range m.nodes[33:] {
+			p.pause(true)
+		}
+		version := m.publish(5)
+		m.takeBytes()
+		<-time.After(20 * time.Second)
+		if m.inForce(version) {
+			t.Fatal("version is in force without a majority")
+		}
+		mean, highest := m.takeBytes()
+		t.Logf("mean %d, highest %d bytes/s", mean/20, highest/20)
+		if highest/20 > 26_000 {
+			t.Errorf("node with the most traffic has %d bytes/s", highest/20)
+		}
+		for _, p := range m.nodes {
+			p.pause(false)
+		}
+		if passed, ok := m.await(version, 3*timekeeper.Second); !ok {
+			t.Errorf("version is not in force %d ms after the majority is back", passed)
+		}
+	})
+}
--- a/internal/relayer/spread.go
+++ b/internal/relayer/spread.go
@@ -75,6 +75,7 @@
 		return
 	}
 	t := &tally{known: make(map[string]uint64), active: make(map[string]uint64)}
+	wait := timekeeper.Millis(retrySpan)
 	for end := r.options.Clock.Now() + spreadSpan; ctx.Err() == nil && r.options.Clock.Now() < end; {
 		if r.round(ctx, v, t, ask) && (ask || r.options.Follower.Known() > version) {
 			break
@@ -82,7 +83,8 @@
 		if r.finished(version, t) {
 			break
 		}
-		_ = connector.Sleep(ctx, retrySpan)
+		_ = connector.Sleep(ctx, wait+r.jitter(wait/2))
+		wait = min(2*wait, retryMax)
 	}
 	r.options.Members.Observe(t.copyKnown())
 }
