--- a/internal/deduplicator/keeper.go
+++ b/internal/deduplicator/keeper.go
@@ -55,7 +55,7 @@
 }
 
 // Run refreshes the schedules until the context ends: eight times per lead, after a claim that found none, and with
-// growing waits while a service of the view has none, since its calls with an id from the caller are refused until then.
+// growing waits while a service of the view has none. Until then, calls with an id from the caller are refused.
 func (k *Keeper) Run(ctx context.Context) error {
 	next, retry, bound := timekeeper.Millis(0), timekeeper.Millis(0), missingBase
 	for {
