--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -17,6 +17,7 @@
 	transport *http.Transport
 	attempts  *attempts
 	reported  deathCount
+	survivors isolator.Survivors
 	started   timekeeper.Millis
 
 	// Switches of mechanisms, set by tests only.
@@ -169,6 +170,7 @@
 	if failure != nil {
 		return stateOf(failure), failure
 	}
+	h.survivors.Add(x.Fingerprint)
 	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load()))
 	return StateDone, nil
 }
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
@@ -233,3 +235,30 @@
 		_ = i.Check(Key{ID: "other", Account: "a", Call: "c", Fingerprint: 1 << 40})
 	}
 }
+
+// Guards against common requests that are refused everywhere because many upstreams ended at once while they ran, as
+// in a rack failure, and against a crashing request that is spared because bystanders ran beside it.
+func TestAnsweredRequestsAreNotSuspected(t *testing.T) {
+	common := Key{ID: "1", Account: "a", Call: "look-up", Fingerprint: 7}
+	crashing := Key{ID: "2", Account: "a", Call: "settle", Fingerprint: 9}
+	for _, answered := range []bool{true, false} {
+		clock := timekeeper.Manual(1_000_000)
+		i := New(Options{Name: "n", Clock: clock.Clock()})
+		for _, host := range []string{"h1", "h2", "h3"} {
+			survivors := &Survivors{}
+			if answered {
+				survivors.Add(common.Fingerprint)
+			}
+			i.Died(survivors.Accuse([]Key{common, crashing}), host)
+		}
+		refused := map[string]bool{}
+		for _, key := range []Key{common, crashing} {
+			key.ID = "later"
+			refused[key.Call] = i.Check(key) != nil
+		}
+		want := map[string]bool{"look-up": !answered, "settle": true}
+		if diff := cmp.Diff(want, refused); diff != "" {
+			t.Errorf("answered before: %v (-want +got):\n%s", answered, diff)
+		}
+	}
+}
--- a/internal/isolator/table.go
+++ b/internal/isolator/table.go
@@ -104,6 +104,9 @@
 		deaths := t.events(at, idWindow, func(k Key) bool { return k.ID == key.ID })
 		t.refuse(ScopeID, Key{ID: key.ID}, len(deaths), idDeaths, at+requestSpan)
 	}
+	if key.Call == "" {
+		return // accused by its id only
+	}
 	deaths := t.events(at, shortWindow, func(k Key) bool { return k.Fingerprint == key.Fingerprint })
 	t.refuse(ScopeFingerprint, Key{Fingerprint: key.Fingerprint}, len(deaths), fingerprintDeaths, at+requestSpan)
 	if t.callSuspect(at, key) {
@@ -162,6 +165,9 @@
 			fingerprints[r.key.Fingerprint] = true
 			continue
 		}
+		if r.key.Call == "" {
+			continue
+		}
 		kind := Key{Account: r.key.Account, Call: r.key.Call}
 		if others[kind] == nil {
 			others[kind] = make(map[event]bool)
