--- a/internal/loader/load_test.go
+++ b/internal/loader/load_test.go
@@ -29,8 +29,8 @@
 		Seeds:    []string{"127.0.0.2:8100", "127.0.0.3:8100"},
 		Internal: "0123456789abcdef",
 		Operator: "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
-		Memory:   Memory{Records: 1 << 20, Response: 1024, Process: 128 << 20},
-		Body:     2048, Log: "warn",
+		Memory:   Memory{Records: 1 << 20, Process: 128 << 20},
+		Body:     2048, Delay: 9, Log: "warn",
 	}
 	if diff := cmp.Diff(want, settings); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -19,7 +19,9 @@
 	Operator string   `yaml:"operator" validate:"omitempty,digest" usage:"SHA-256 of an operator token, in hexadecimal"`
 	Memory   Memory   `yaml:"memory"`
 	Body     int64    `yaml:"body" validate:"min=1024,max=67108864" usage:"largest request body, in bytes"`
-	Log      string   `yaml:"log" validate:"oneof=debug info warn error" usage:"lowest level that is logged"`
+	// Delay is used to weigh a wait here against the way to another data centre.
+	Delay timekeeper.Millis `yaml:"delay" validate:"min=0,max=1000" usage:"one-way delay to other data centres, in ms"`
+	Log   string            `yaml:"log" validate:"oneof=debug info warn error" usage:"lowest level that is logged"`
 }
 
 // Upstream is the server process that runs the requests.
@@ -38,9 +40,8 @@
 
 // Memory bounds what a node keeps, in bytes.
 type Memory struct {
-	Records  int64 `yaml:"records" validate:"min=1048576,max=4294967296" usage:"request records and responses, in bytes"`
-	Response int64 `yaml:"response" validate:"min=0,max=16777216" usage:"largest response kept for repeats, in bytes"`
-	Process  int64 `yaml:"process" validate:"min=33554432,max=68719476736" usage:"soft limit of the process, in bytes"`
+	Records int64 `yaml:"records" validate:"min=1048576,max=4294967296" usage:"request records and responses, in bytes"`
+	Process int64 `yaml:"process" validate:"min=33554432,max=68719476736" usage:"soft limit of the process, in bytes"`
 }
 
 // Default returns the settings that hold where no source sets a field. Required fields are empty in it.
@@ -50,11 +51,11 @@
 		// The design page gives each node 5 platform calls a second, and every platform call 5 s.
 		Platform: Platform{Rate: 5, Burst: 10, Timeout: 5 * timekeeper.Second},
 		Memory: Memory{
-			Records:  64 << 20,
-			Response: 64 << 10,
-			Process:  256 << 20, // the control overhead target of a node
+			Records: 64 << 20,
+			Process: 256 << 20, // the control overhead target of a node
 		},
-		Body: 1 << 20,
-		Log:  "info",
+		Body:  1 << 20,
+		Delay: 4, // data centres are about 4 ms apart
+		Log:   "info",
 	}
 }
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -16,8 +16,6 @@
 	// warmUp is the span after a start in which the weight of an upstream grows from warmUpFloor to 1.
 	warmUp      = 10 * timekeeper.Second
 	warmUpFloor = 0.1
-	// defaultDelay is the one-way delay between data centres that is assumed where none is configured.
-	defaultDelay timekeeper.Millis = 4
 )
 
 // Directory lists the members of a service as an immutable snapshot; tracker.Directory satisfies it.
@@ -30,7 +28,8 @@
 	Directory Directory
 	Clock     timekeeper.Clock
 	Zone      string                       // data centre of this node
-	Delays    map[string]timekeeper.Millis // one-way delay to other data centres
+	Delay     timekeeper.Millis            // one-way delay to other data centres
+	Delays    map[string]timekeeper.Millis // those that differ
 	Random    *rand.Rand
 }
 
@@ -61,6 +60,7 @@
 	directory Directory
 	clock     timekeeper.Clock
 	zone      string
+	apart     timekeeper.Millis // one-way delay to other data centres
 	delays    map[string]timekeeper.Millis
 	random    *rand.Rand
 	endpoints sync.Map // member name to *endpoint
@@ -76,6 +76,7 @@
 		directory: options.Directory,
 		clock:     options.Clock,
 		zone:      options.Zone,
+		apart:     options.Delay,
 		delays:    options.Delays,
 		random:    options.Random,
 	}
@@ -201,7 +202,7 @@
 	if delay, ok := p.delays[name]; ok {
 		return delay
 	}
-	return defaultDelay
+	return p.apart
 }
 
 func (p *Picker) intN(n int) int {
--- a/tools/bench/mesh.go
+++ b/tools/bench/mesh.go
@@ -148,6 +148,7 @@
 	settings.Name, settings.Zone, settings.Service = instance.Name, instance.Zone, instance.Service
 	settings.Caller, settings.Peer, settings.Admin = instance.Caller, instance.Peer, instance.Admin
 	settings.Upstream.Address, settings.Platform.URL = instance.Upstream, "http://"+m.layout.Platform
+	settings.Delay = m.layout.Links.Delay
 	settings.Internal, settings.Operator = meshInternal, hex.EncodeToString(digest[:])
 	content, err := yaml.Marshal(settings)
 	if err != nil {
--- a/tools/bench/outcome.go
+++ b/tools/bench/outcome.go
@@ -58,6 +58,11 @@
 	add("added_p999_ms", float64(sum.Added.ValueAtQuantile(99.9))/1000)
 	add("notrun_share", float64(sum.NotRun)/sent)
 	add("unknown_share", float64(sum.Unknown)/sent)
+	if name == "all" {
+		for code, count := range sum.Codes {
+			add("code "+code, float64(count))
+		}
+	}
 }
 
 // floods reports what the stated targets say of floods on storefront.
