--- a/tools/bench/load.go
+++ b/tools/bench/load.go
@@ -22,6 +22,9 @@
 // maxInFlight bounds the open requests of the caller stand-in; more arrivals count as unknown.
 const maxInFlight = 20000
 
+// warmRow is the number of answers in a row after which a kind of call counts as served.
+const warmRow = 12
+
 // maxSends is how often a caller sends one request with the same id when connections break.
 const maxSends = 3
 
@@ -66,16 +69,17 @@
 	}
 }
 
-// warm sends each kind of call until it is answered once or limit passes. Right after the first start of a system the
-// owners of request ids are not agreed yet.
+// warm sends each kind of call until several in a row are answered or limit passes. Right after the first start of a
+// system the owners of request ids are not agreed yet, and each data centre has its own.
 func (l *Load) warm(ctx context.Context, targets []Target, limit time.Duration) error {
 	end := time.Now().Add(limit)
 	for i := range targets {
-		for {
+		for row := 0; row < warmRow; {
 			last := l.send(&targets[i], uuid.Must(uuid.NewV7()).String(), nil)
-			if last.Outcome == classifier.OutcomeAnswered {
-				break
+			if row++; last.Outcome == classifier.OutcomeAnswered {
+				continue
 			}
+			row = 0
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not answered after %v: %s, code %s", targets[i].key(), limit, last.Outcome, last.Code)
 			}
