--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -50,7 +50,7 @@
 		end.broken = true
 		return end
 	}
-	if outcome := response.Header.Get(headerOutcome); outcome != string(classifier.OutcomeAnswered) {
+	if outcome := response.Header.Get(HeaderOutcome); outcome != string(classifier.OutcomeAnswered) {
 		end.refused(c, response, outcome)
 		return end
 	}
@@ -80,7 +80,7 @@
 func (c *call) owns(response *http.Response) bool {
 	mark := response.Header.Get(headerAnswers)
 	if mark == "" {
-		return response.Header.Get(headerOutcome) != string(classifier.OutcomeAnswered)
+		return response.Header.Get(HeaderOutcome) != string(classifier.OutcomeAnswered)
 	}
 	return c.takeAny || mark == c.job.key().String()
 }
@@ -112,7 +112,7 @@
 	if json.Unmarshal(content, &told) != nil {
 		told.Reason = "the host node gave no reason"
 	}
-	code, err := strconv.Atoi(response.Header.Get(headerCode))
+	code, err := strconv.Atoi(response.Header.Get(HeaderCode))
 	wait, _ := decodeMillis(response.Header, headerWait, 0)
 	e.died = response.Header.Get(headerDied) != ""
 	c.certain = c.certain || response.Header.Get(headerCertain) != ""
@@ -136,8 +136,8 @@
 	defer e.close()
 	header := w.Header()
 	passHeaders(header, e.header)
-	header[headerOutcome] = []string{string(classifier.OutcomeAnswered)}
-	header[headerCode] = []string{"0"}
+	header[HeaderOutcome] = []string{string(classifier.OutcomeAnswered)}
+	header[HeaderCode] = []string{"0"}
 	if length := e.header.Get(headerLength); c.job.Method == http.MethodHead && length != "" {
 		header[headerLengthIn] = []string{length}
 	} else if e.length >= 0 && bodyAllowed(e.status) {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -95,6 +95,9 @@
 			e.refuse(w, c, last)
 			return
 		}
+		if c.job.Attempt > 1 {
+			w.Header()[HeaderAttempts] = []string{strconv.Itoa(c.job.Attempt)}
+		}
 		end := e.attempt(ctx, c, &member)
 		if end.failure == nil {
 			end.deliver(w, c)
--- a/internal/forwarder/failure.go
+++ b/internal/forwarder/failure.go
@@ -71,8 +71,8 @@
 // writeFailure sends a failure with its code, outcome and hint.
 func writeFailure(w http.ResponseWriter, failure *classifier.Error, now timekeeper.Millis) {
 	header := w.Header()
-	header[headerCode] = []string{strconv.Itoa(int(failure.Code))}
-	header[headerOutcome] = []string{string(failure.Outcome)}
+	header[HeaderCode] = []string{strconv.Itoa(int(failure.Code))}
+	header[HeaderOutcome] = []string{string(failure.Outcome)}
 	if wait := retryAfter(failure, now); wait > 0 {
 		header[headerWait] = []string{strconv.FormatInt(int64(wait), 10)}
 		header["Retry-After"] = []string{strconv.FormatInt(int64((wait+timekeeper.Second-1)/timekeeper.Second), 10)}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -18,8 +18,6 @@
 	headerInternal = "Jasmine-Internal"
 	headerDepth    = "Jasmine-Depth"
 	headerRetry    = "Jasmine-Retry"
-	headerOutcome  = "Jasmine-Outcome"
-	headerCode     = "Jasmine-Code"
 	headerVersion  = "Jasmine-Version"
 	headerLoad     = "Jasmine-Load"
 	headerForward  = "Jasmine-Forward" // entry node to host node: a job
@@ -33,6 +31,13 @@
 	headerAgent    = "User-Agent"
 )
 
+// Headers of a response that tell how the call ended.
+const (
+	HeaderOutcome  = "Jasmine-Outcome"  // a classifier.Outcome
+	HeaderCode     = "Jasmine-Code"     // a classifier.Code
+	HeaderAttempts = "Jasmine-Attempts" // number of attempts, if there was more than one
+)
+
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, upstreamFailure(ctx, j, err)
 	}
-	if response.Header.Get(headerOutcome) == string(classifier.OutcomeNotRun) {
+	if response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun) {
 		_ = response.Body.Close()
 		failure := classifier.Refuse(classifier.CodeOverload, j.Call, "the upstream shed the request")
 		failure.Cause = &admitter.RetryError{After: 1}
@@ -124,7 +124,7 @@
 	defer a.close()
 	header := w.Header()
 	passHeaders(header, a.header)
-	header[headerOutcome] = []string{string(classifier.OutcomeAnswered)}
+	header[HeaderOutcome] = []string{string(classifier.OutcomeAnswered)}
 	header[headerLoad] = []string{load}
 	if j.Method == http.MethodHead {
 		if length := header[headerLengthIn]; length != nil {
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -80,6 +80,7 @@
 	n.addConfiguration()
 	n.addRequests()
 	n.addAdministration()
+	n.addMetrics()
 	n.Tracker.Join(settings.Seeds)
 	return n, n.register()
 }
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -62,7 +62,7 @@
 	addresses := []struct {
 		address string
 		handler http.Handler
-	}{{n.settings.Peer, peer}, {n.settings.Admin, n.admin}, {n.settings.Caller, n.entry}}
+	}{{n.settings.Peer, peer}, {n.settings.Admin, n.admin}, {n.settings.Caller, newCallMetrics(n.meter, n.entry)}}
 	for _, one := range addresses {
 		opened, err := listen(base, one.address, one.handler)
 		if err != nil {
--- a/tools/bench/outcome.go
+++ b/tools/bench/outcome.go
@@ -58,6 +58,9 @@
 	add("added_p999_ms", float64(sum.Added.ValueAtQuantile(99.9))/1000)
 	add("notrun_share", float64(sum.NotRun)/sent)
 	add("unknown_share", float64(sum.Unknown)/sent)
+	if name == "all" && system == systemDesign {
+		m.report.atMost(system, s.name, nodes, "all retries_share", float64(sum.Retries)/sent, retriesTarget)
+	}
 	if name == "all" {
 		for code, count := range sum.Codes {
 			add("code "+code, float64(count))
--- a/tools/bench/tally.go
+++ b/tools/bench/tally.go
@@ -17,7 +17,7 @@
 	Total   int64 // microseconds
 	Added   int64 // microseconds without the run on the upstream
 	Whole   bool  // the body belongs to the request
-	Resent  bool  // sent more than once with the same id
+	Retries int   // attempts of the entry node beyond the first
 }
 
 // Tally counts the endings of requests.
@@ -35,7 +35,7 @@
 
 // Summary is the figures of the endings that a filter accepts.
 type Summary struct {
-	Sent, Answered, InTime, NotRun, Unknown, Mixed int
+	Sent, Answered, InTime, NotRun, Unknown, Mixed, Retries int
 
 	Added *hdrhistogram.Histogram // microseconds, of answered requests
 	Codes map[string]int          // result codes of requests that were not answered
@@ -56,6 +56,7 @@
 
 func (s *Summary) count(e *Ending) {
 	s.Sent++
+	s.Retries += e.Retries
 	switch e.Outcome {
 	case classifier.OutcomeAnswered:
 		s.Answered++
