--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -15,7 +15,8 @@
 		inBubble(t, nil, noLink, plain, func(t *testing.T, m *mesh) {
 			m.entry.noMemory = memoryless
 			id := newID(m.entry.Clock.Now())
-			if got := m.send(t.Context(), http.MethodPost, "/book", "", headerID, id); outcomeOf(got) != classifier.OutcomeAnswered {
+			got := m.send(t.Context(), http.MethodPost, "/book", "", headerID, id)
+			if outcomeOf(got) != classifier.OutcomeAnswered {
 				t.Fatalf("first presentation: %s", outcomeOf(got))
 			}
 			m.entry.Views = noViews{}
