runner: a node that knows no other one looks for seeds again soon

Cause: nodes that start together all find no seed object; one writes it, and the others took themselves for joined and looked again after 30 to 60 s. The first schedule of request owners of a data centre then lacked their names. Ruled out: a longer patience before the schedule is written, which only hides a node that is alone. Change: the pause depends on whether any other live member is known, and an error or a lost race keeps it short.

--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -42,12 +42,11 @@
 // run joins through the seed objects of all data centres, then lets relays keep the own one current.
 func (s *seeder) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := startPause
-		if err := s.step(ctx); err != nil {
+		err := s.step(ctx)
+		if err != nil {
 			s.logger.Warn("seed objects are not available", zap.Error(err))
-		} else if s.tracker.Joined() {
-			pause = seedPeriod
 		}
+		pause := pauseAfter(err, s.alone())
 		// Jitter keeps nodes that start together from calling the platform together.
 		pause += timekeeper.Millis(rand.Int64N(int64(pause)))
 		_ = connector.Sleep(ctx, pause)
@@ -55,8 +54,29 @@
 	return nil
 }
 
+// pauseAfter returns the time to the next look. A node that knows no other one looks again soon: nodes that start at the
+// same time may all have found no seed object, and only one of them wrote it.
+func pauseAfter(err error, alone bool) timekeeper.Millis {
+	if err != nil || alone {
+		return startPause
+	}
+	return seedPeriod
+}
+
+// alone reports whether this node knows no other live one.
+func (s *seeder) alone() bool {
+	for _, zone := range s.tracker.Zones() {
+		for _, member := range s.tracker.Zone(zone) {
+			if member.Peer != s.peer && member.Health == tracker.HealthAlive {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (s *seeder) step(ctx context.Context) error {
-	if s.tracker.Joined() && !s.tracker.IsRelay() {
+	if !s.alone() && !s.tracker.IsRelay() {
 		return nil
 	}
 	snapshot, err := s.platform.List(ctx, connector.KindSeed)
--- /dev/null
+++ b/internal/runner/seeder_test.go
@@ -0,0 +1,21 @@
+package runner
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+// Guards against a node that lost the race for the first seed object and then stays without other nodes for a minute.
+func TestLoneNodeLooksAgainSoon(t *testing.T) {
+	got := []timekeeper.Millis{
+		pauseAfter(nil, true), pauseAfter(errors.New("platform is down"), false), pauseAfter(nil, false),
+	}
+	want := []timekeeper.Millis{startPause, startPause, seedPeriod}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("pauses differ (-want +got):\n%s", diff)
+	}
+}
