--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -54,8 +54,8 @@
 	return nil
 }
 
-// pauseAfter returns the time to the next look. A node that knows no other one looks again soon: nodes that start at the
-// same time may all have found no seed object, and only one of them wrote it.
+// pauseAfter returns the time to the next look. A node that knows no other one looks again soon: nodes that start at
+// the same time may all have found no seed object, and only one of them wrote it.
 func pauseAfter(err error, alone bool) timekeeper.Millis {
 	if err != nil || alone {
 		return startPause
