--- a/internal/connector/object.go
+++ b/internal/connector/object.go
@@ -25,4 +25,6 @@
 	KindAudit   = "audit"
 	KindSeed    = "seed"
 	KindToken   = "token"
+	// KindSchedule holds the owners of request ids, named "zone.<data centre>" and "service.<service>".
+	KindSchedule = "schedule"
 )
--- a/internal/deduplicator/keeper.go
+++ b/internal/deduplicator/keeper.go
@@ -12,9 +12,6 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// KindSchedule is the platform kind of schedules. Their names are "zone.<data centre>" and "service.<service>".
-const KindSchedule = "schedule"
-
 const (
 	zonePrefix    = "zone."
 	servicePrefix = "service."
@@ -99,12 +96,12 @@
 // Refresh reads all schedules, and as a relay first extends those that need it. One List is the only call of a node
 // that is not a relay.
 func (k *Keeper) Refresh(ctx context.Context) error {
-	snapshot, err := k.options.Platform.List(ctx, KindSchedule)
+	snapshot, err := k.options.Platform.List(ctx, connector.KindSchedule)
 	if err != nil {
 		return err
 	}
 	if k.options.Relay() && k.extend(ctx, snapshot.Objects) {
-		if snapshot, err = k.options.Platform.List(ctx, KindSchedule); err != nil {
+		if snapshot, err = k.options.Platform.List(ctx, connector.KindSchedule); err != nil {
 			return err
 		}
 	}
@@ -145,7 +142,7 @@
 	}
 	wrote := false
 	for name, names := range wanted {
-		object := connector.Object{Kind: KindSchedule, Name: name}
+		object := connector.Object{Kind: connector.KindSchedule, Name: name}
 		if at := slices.IndexFunc(objects, func(o connector.Object) bool { return o.Name == name }); at >= 0 {
 			object = objects[at]
 		}
