--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -7,7 +7,10 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 	"github.com/jasmineproxy/jasmineproxy/internal/runner"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/platform"
 )
 
 // Run runs the command line and returns the exit code of the process. SIGTERM and SIGINT end the command's context.
@@ -19,7 +22,16 @@
 		output:      os.Stdout,
 		errors:      os.Stderr,
 		environment: os.Environ(),
-		run:         runner.Run,
+		run:         runNode,
 	}
 	return p.execute(ctx, arguments)
 }
+
+// runNode runs a node of its own or a hosted one, as the settings say.
+func runNode(ctx context.Context, settings loader.Settings) error {
+	if !settings.Hosted.Enabled() {
+		return runner.Run(ctx, settings)
+	}
+	edges := runner.Edges{Clock: timekeeper.System(), Log: os.Stdout}
+	return runner.RunHosted(ctx, settings, edges, platform.Protocol(settings))
+}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
@@ -50,6 +51,10 @@
 		Target: route.Rank.Target, Account: route.Account.Name, Call: route.Call.Name, Service: route.Call.Service,
 		Method: r.Method, URI: r.URL.RequestURI(), Token: rand.Uint64(),
 	}
+	if parts := route.Call.Split; len(parts) > 0 {
+		c.job.Service = drawPart(parts)
+	}
+	c.job.Origin = e.Service
 	c.pick = router.Request{
 		Service: c.job.Service, Account: c.job.Account, Call: c.job.Call, Rank: c.job.Order,
 	}
@@ -67,8 +72,32 @@
 	})
 }
 
+// drawPart chooses the service of one request by weight.
+func drawPart(parts []compiler.Part) string {
+	sum := 0
+	for _, part := range parts {
+		sum += part.Weight
+	}
+	if sum > 0 {
+		drawn := rand.IntN(sum)
+		for _, part := range parts {
+			if drawn -= part.Weight; drawn < 0 {
+				return part.Service
+			}
+		}
+	}
+	return parts[0].Service
+}
+
 // identify checks the id of a request, or makes one.
 func (e *Entry) identify(c *call, now timekeeper.Millis) error {
+	if c.job.ID != "" && e.Opaque {
+		c.job.Fresh = true
+		if !validToken(c.job.ID) {
+			return classifier.Refuse(classifier.CodeIDMalformed, headerID, "%.40q is not an id", c.job.ID)
+		}
+		return nil
+	}
 	if c.job.ID != "" {
 		if err := checkID(c.job.ID, now); err != nil {
 			return err
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -133,7 +133,7 @@
 	}
 	switch failure.Code {
 	case classifier.CodeDeadlinePassed, classifier.CodeIsolated, classifier.CodeDraining, classifier.CodeNotReady:
-		if r.Header.Get(headerID) != "" && !repeatable && !e.noMemory {
+		if r.Header.Get(headerID) != "" && !repeatable && !e.Opaque && !e.noMemory {
 			copied := *failure
 			copied.Outcome = classifier.OutcomeUnknown
 			failure = &copied
@@ -195,6 +195,7 @@
 func (e *Entry) exchange(ctx context.Context, c *call, member *tracker.Member) *ending {
 	remaining := c.deadline - e.Clock.Now()
 	reserve := reserveOf(remaining)
+	c.job.Host = member.Name
 	if remaining <= 2*reserve {
 		return failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
 	}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -31,6 +31,16 @@
 	headerAgent    = "User-Agent"
 )
 
+// Headers that adapters translate.
+const (
+	HeaderInstance = "Jasmine-Instance" // host node to upstream: id of the process that is to run the request
+	HeaderOrigin   = "Jasmine-Origin"   // host node to upstream: service beside the entry node
+	HeaderID       = headerID           // id of the request
+	HeaderDeadline = headerDeadline     // remaining time in ms
+	HeaderWait     = headerWait         // ms after which refused work may be sent again
+	HeaderPrefix   = headerPrefix       // of all names above
+)
+
 // Headers of a response that tell how the call ended.
 const (
 	HeaderOutcome  = "Jasmine-Outcome"  // a classifier.Outcome
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -15,6 +15,7 @@
 type Host struct {
 	Options
 	transport *http.Transport
+	exchanger http.RoundTripper // transport with the protocol of the upstream
 	attempts  *attempts
 	reported  deathCount
 	survivors isolator.Survivors
@@ -29,10 +30,15 @@
 	if options.MaxBody <= 0 {
 		options.MaxBody = defaultMaxBody
 	}
-	return &Host{
+	h := &Host{
 		Options: options, transport: newTransport(options.Dial, options.Connections), attempts: newAttempts(),
 		started: options.Clock.Now(),
 	}
+	h.exchanger = h.transport
+	if options.Wrap != nil {
+		h.exchanger = options.Wrap(h.transport)
+	}
+	return h
 }
 
 // Close closes idle connections to the upstream.
@@ -50,6 +56,7 @@
 	deadline timekeeper.Millis
 	claim    deduplicator.Request
 	claimed  bool
+	instance string // id of the upstream's process; empty if it has none
 }
 
 // ServeHTTP runs one request that an entry node sent.
@@ -93,10 +100,13 @@
 		return nil, err
 	}
 	now := h.Clock.Now()
+	if j.Host != h.Name {
+		return nil, classifier.Refuse(classifier.CodeUpstreamUnreached, j.Call, "node %.64q is not at this address", j.Host)
+	}
 	if r.Method != http.MethodPost || r.ContentLength < 0 || r.ContentLength > h.MaxBody {
 		return nil, classifier.Refuse(classifier.CodePeerInvalid, j.Call, "%s with %d bytes", r.Method, r.ContentLength)
 	}
-	if now > j.Expires+2*maxSkew {
+	if !h.Opaque && now > j.Expires+2*maxSkew {
 		return nil, classifier.Refuse(classifier.CodeDeadlinePassed, j.Call, "the request arrived after its deadline")
 	}
 	x := &run{job: j, writer: w, request: r, key: j.key(), deadline: now + j.Remaining}
@@ -136,6 +146,10 @@
 		return StateNotRun, failureOf(err)
 	}
 	defer release()
+	if failure := x.address(h); failure != nil {
+		h.unclaim(x)
+		return StateNotRun, failure
+	}
 	generation := uint64(0)
 	if h.Prober != nil {
 		generation = h.Prober.Restarts()
@@ -153,6 +167,19 @@
 	return h.execute(ctx, x, generation)
 }
 
+// address names the process of the upstream that is to run the request. It fails when none takes new work.
+func (x *run) address(h *Host) *classifier.Error {
+	if h.Instance == nil {
+		return nil
+	}
+	id, ok := h.Instance()
+	if !ok {
+		return classifier.Refuse(classifier.CodeDraining, x.Call, "the upstream takes no new work")
+	}
+	x.instance = id
+	return nil
+}
+
 func stateOf(failure *classifier.Error) State {
 	if failure != nil && failure.Outcome == classifier.OutcomeNotRun {
 		return StateNotRun
--- a/internal/forwarder/identity.go
+++ b/internal/forwarder/identity.go
@@ -26,6 +26,22 @@
 	return err == nil && len(text) == 36 && id.Version() == 7 && id.Variant() == uuid.RFC4122
 }
 
+// maxToken bounds an opaque id, in bytes.
+const maxToken = 128
+
+// validToken reports whether text can be an id of any kind: printable ASCII without spaces.
+func validToken(text string) bool {
+	if text == "" || len(text) > maxToken {
+		return false
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // birth returns the time in a UUIDv7.
 func birth(id uuid.UUID) timekeeper.Millis {
 	return timekeeper.Millis(binary.BigEndian.Uint64(id[:8]) >> 16)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -13,7 +13,7 @@
 // jobFormat is the version of the Jasmine-Forward header.
 const jobFormat = 1
 
-const jobFields = 16
+const jobFields = 18
 
 // job is what an entry node tells the host node about a request, in the Jasmine-Forward header.
 type job struct {
@@ -33,6 +33,8 @@
 	Account     string
 	Call        string
 	Service     string
+	Origin      string // service of the upstream beside the entry node
+	Host        string // member name of the host node that the entry node chose
 	Method      string
 	URI         string // path and query as the caller sent them
 }
@@ -50,7 +52,7 @@
 	text = strconv.AppendUint(text, j.Fingerprint, 16)
 	text = append(text, ' ')
 	text = strconv.AppendUint(text, j.Token, 16)
-	for _, word := range [...]string{j.Account, j.Call, j.Service, j.Method, j.ID} {
+	for _, word := range [...]string{j.Account, j.Call, j.Service, j.Origin, j.Host, j.Method, j.ID} {
 		text = append(text, ' ')
 		text = append(text, word...)
 	}
@@ -97,10 +99,11 @@
 		Order: int(numbers[3]), Share: int(numbers[4]), Target: timekeeper.Millis(numbers[5]),
 		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Expires: timekeeper.Millis(numbers[8]),
 		Fingerprint: fingerprint, Token: token,
-		Account: words[11], Call: words[12], Service: words[13], Method: words[14], ID: words[15],
+		Account: words[11], Call: words[12], Service: words[13], Origin: words[14], Host: words[15],
+		Method: words[16], ID: words[17],
 		URI: header.Get(headerTarget),
 	}
-	if !strings.HasPrefix(j.URI, "/") || j.Order >= admitter.Ranks || j.Method == "" || !validID(j.ID) {
+	if !strings.HasPrefix(j.URI, "/") || j.Order >= admitter.Ranks || j.Method == "" || !validToken(j.ID) {
 		return nil, classifier.Refuse(classifier.CodePeerInvalid, headerForward, "a field is out of range")
 	}
 	return j, nil
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -58,9 +59,10 @@
 
 // Options are the parts that NewEntry and NewHost assemble. Parts that are nil are left out.
 type Options struct {
-	Clock  timekeeper.Clock
-	Logger *zap.Logger
-	Name   string // member name of this node
+	Clock   timekeeper.Clock
+	Logger  *zap.Logger
+	Name    string // member name of this node
+	Service string // service of the upstream beside this node
 	// Incarnation is that of the node in the membership table.
 	Incarnation uint64
 	Zone        string
@@ -78,14 +80,20 @@
 	Home     func(id, account, call string) string
 	Internal string // secret of internal calls; empty refuses them all
 	MaxBody  int64  // bytes of a request body; 0 for 1 MiB
+	// Opaque takes ids of any form from callers, which never present one twice. The mesh then keeps no records of ids.
+	Opaque bool
 
 	// Both.
 	Coordinator deduplicator.Coordinator
 	Isolator    Isolator
 
 	// Host node.
-	Queue       *admitter.Queue
-	Prober      Prober
-	Upstream    string // address of the upstream, such as 127.0.0.1:9000
-	Connections int    // connections to the upstream; 0 for no bound
+	Queue    *admitter.Queue
+	Prober   Prober
+	Upstream string // address of the upstream, such as 127.0.0.1:9000
+	// Instance returns the id of the upstream's present process, false if none takes new work; nil for no such id.
+	Instance func() (id string, ok bool)
+	// Wrap adds the protocol of the upstream to the transport; nil for the project's own.
+	Wrap        func(http.RoundTripper) http.RoundTripper
+	Connections int // connections to the upstream; 0 for no bound
 }
--- a/internal/forwarder/receiver.go
+++ b/internal/forwarder/receiver.go
@@ -71,7 +71,7 @@
 	reply.Findings = make([]Finding, 0, len(arguments.Queries))
 	now := c.host.Clock.Now()
 	for _, q := range arguments.Queries {
-		if !validID(q.ID) || q.Deadline > now+24*60*timekeeper.Minute {
+		if !validToken(q.ID) || q.Deadline > now+24*60*timekeeper.Minute {
 			return classifier.New(classifier.CodePeerInvalid, "forwarder", "a query is out of range")
 		}
 		reply.Findings = append(reply.Findings, c.host.find(now, &q, arguments.Fence))
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
-	response, err := h.transport.RoundTrip(request)
+	response, err := h.exchanger.RoundTrip(request)
 	if err != nil {
 		return nil, upstreamFailure(ctx, j, err)
 	}
@@ -84,6 +84,10 @@
 	header[headerID] = []string{j.ID}
 	header[headerDeadline] = []string{strconv.FormatInt(int64(x.deadline-h.Clock.Now()), 10)}
 	header[headerDepth] = []string{strconv.Itoa(j.Depth)}
+	if x.instance != "" {
+		header[HeaderInstance] = []string{x.instance}
+		header[HeaderOrigin] = []string{j.Origin}
+	}
 	if j.Retry {
 		header[headerRetry] = []string{"1"}
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -18,6 +18,7 @@
 	Internal string   `yaml:"internal" validate:"omitempty,min=16,max=256,printascii" usage:"secret for internal calls"`
 	Operator string   `yaml:"operator" validate:"omitempty,digest" usage:"SHA-256 of an operator token, in hexadecimal"`
 	Memory   Memory   `yaml:"memory"`
+	Hosted   Hosted   `yaml:"hosted"`
 	Body     int64    `yaml:"body" validate:"min=1024,max=67108864" usage:"largest request body, in bytes"`
 	// Delay is used to weigh a wait here against the way to another data centre.
 	Delay timekeeper.Millis `yaml:"delay" validate:"min=0,max=1000" usage:"one-way delay to other data centres, in ms"`
@@ -38,6 +39,19 @@
 	Timeout timekeeper.Millis `yaml:"timeout" validate:"min=100,max=60000" usage:"deadline of one platform call, in ms"`
 }
 
+// Hosted are the settings of a node on a platform that stores the configuration and whose upstreams announce
+// themselves. They are empty on a node of its own.
+type Hosted struct {
+	Ready     string  `yaml:"ready" validate:"omitempty,endpoint" usage:"address of the readiness check, IP:port"`
+	Control   string  `yaml:"control" validate:"omitempty,endpoint" usage:"address for the upstream's heartbeats, IP:port"`
+	Heartbeat float64 `yaml:"heartbeat" validate:"gt=0,max=3600" usage:"time between two heartbeats, in s"`
+}
+
+// Enabled reports whether the node is a hosted one.
+func (h *Hosted) Enabled() bool {
+	return h.Control != ""
+}
+
 // Memory bounds what a node keeps, in bytes.
 type Memory struct {
 	Records int64 `yaml:"records" validate:"min=1048576,max=4294967296" usage:"request records and responses, in bytes"`
@@ -54,8 +68,9 @@
 			Records: 64 << 20,
 			Process: 256 << 20, // the control overhead target of a node
 		},
-		Body:  1 << 20,
-		Delay: 4, // data centres are about 4 ms apart
-		Log:   "info",
+		Hosted: Hosted{Heartbeat: 1.5},
+		Body:   1 << 20,
+		Delay:  4, // data centres are about 4 ms apart
+		Log:    "info",
 	}
 }
--- a/internal/router/match.go
+++ b/internal/router/match.go
@@ -87,7 +87,10 @@
 		host := &hostIndex{account: account, calls: make(map[callKey]Route, len(account.Calls))}
 		for j := range account.Calls {
 			call := &account.Calls[j]
-			prefix := trimSlash(call.Path)
+			prefix := call.Path
+			if call.Method != "" {
+				prefix = trimSlash(prefix)
+			}
 			host.longest = max(host.longest, len(prefix))
 			host.calls[callKey{call.Method, prefix}] = Route{
 				Version: view.Version, Account: account, Call: call, Rank: account.Rank(call.Rank),
@@ -114,23 +117,40 @@
 	if err != nil {
 		return Route{}, err
 	}
+	route, ok := found.longestPrefix(method, target)
+	if !ok {
+		return Route{}, classifier.Refuse(classifier.CodeUnknownCall, found.account.Name, "no call matches %s %.200q",
+			method, target)
+	}
 	// An upstream that resolves dot segments would run another call than the one that was matched.
-	prefix := trimSlash(target)
-	if prefix != "" && path.Clean(prefix) != prefix {
+	if prefix := trimSlash(target); route.Call.Method != "" && prefix != "" && path.Clean(prefix) != prefix {
 		return Route{}, classifier.Refuse(classifier.CodeUnknownCall, found.account.Name, "path is not in its clean form")
 	}
+	return route, nil
+}
+
+// longestPrefix finds the call with the longest path that the target starts with.
+func (h *hostIndex) longestPrefix(method, target string) (Route, bool) {
+	prefix := target
 	for {
-		if len(prefix) <= found.longest {
-			if route, ok := found.calls[callKey{method, prefix}]; ok && route.Rank != nil {
-				return route, nil
+		if len(prefix) <= h.longest+1 {
+			if strings.HasSuffix(prefix, "/") {
+				if route, ok := h.calls[callKey{"", prefix}]; ok && route.Rank != nil {
+					return route, true
+				}
+				prefix = prefix[:len(prefix)-1]
+			}
+			if route, ok := h.calls[callKey{method, prefix}]; ok && route.Rank != nil {
+				return route, true
 			}
+		} else {
+			prefix = trimSlash(prefix)
 		}
 		cut := strings.LastIndexByte(prefix, '/')
 		if cut < 0 {
-			return Route{}, classifier.Refuse(classifier.CodeUnknownCall, found.account.Name, "no call matches %s %.200q",
-				method, target)
+			return Route{}, false
 		}
-		prefix = prefix[:cut]
+		prefix = prefix[:cut+1]
 	}
 }
 
--- /dev/null
+++ b/internal/runner/hosted.go
@@ -0,0 +1,245 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/drainer"
+	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
+	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
+	"github.com/jasmineproxy/jasmineproxy/internal/logger"
+	"github.com/jasmineproxy/jasmineproxy/internal/messenger"
+	"github.com/jasmineproxy/jasmineproxy/internal/meter"
+	"github.com/jasmineproxy/jasmineproxy/internal/registrar"
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
+	"github.com/jasmineproxy/jasmineproxy/internal/router"
+	"github.com/jasmineproxy/jasmineproxy/internal/subscriber"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// garbagePercent is the growth of the heap between two collections. Memory costs more than processor time here, and
+// most of the heap is short-lived.
+const garbagePercent = 50
+
+// Hosted is a node on a platform where operators store the whole configuration as one object, upstreams announce
+// themselves by heartbeats, and callers never present a request id twice. It has no records of ids, no publication of
+// versions and no administration of sources.
+type Hosted struct {
+	settings loader.Settings
+	edges    Edges
+	protocol Protocol
+	logger   *zap.Logger
+	meter    *meter.Meter
+	client   *messenger.Client
+	rpc      *messenger.Server
+
+	tracker    *tracker.Tracker
+	subscriber *subscriber.Subscriber
+	registrar  *registrar.Registrar
+	seeder     *seeder
+	isolator   *isolator.Isolator
+	queue      *admitter.Queue
+	drainer    *drainer.Drainer
+	entry      *forwarder.Entry
+	host       *forwarder.Host
+}
+
+// NewHosted assembles a node. It opens no address and makes no connection; Run does.
+func NewHosted(settings loader.Settings, edges Edges, protocol Protocol) (*Hosted, error) {
+	log, err := logger.New(settings.Log, edges.Log)
+	if err != nil {
+		return nil, err
+	}
+	n := &Hosted{settings: settings, edges: edges, protocol: protocol, logger: log, meter: meter.New()}
+	options := messenger.Options{Zone: settings.Zone, Traffic: &messenger.Traffic{}, Logger: n.part("messenger")}
+	n.client = messenger.NewClient(options)
+	n.rpc = messenger.NewServer(options)
+	n.addMembership()
+	n.addRequests()
+	n.meter.AddRuntime()
+	n.tracker.Join(settings.Seeds)
+	return n, n.register()
+}
+
+func (n *Hosted) part(name string) *zap.Logger {
+	return logger.Part(n.logger, name)
+}
+
+func (n *Hosted) addMembership() {
+	n.subscriber = subscriber.New(subscriber.Options{
+		Platform: n.protocol.Platform, Kind: n.protocol.Kind, Name: n.protocol.Name, Decode: n.protocol.Decode,
+		Caller: n.client, Clock: n.edges.Clock, Logger: n.part("subscriber"), Random: newRandom(),
+	})
+	n.tracker = tracker.NewTracker(tracker.Options{
+		Self: tracker.Member{
+			Name: n.settings.Name, Zone: n.settings.Zone, Service: n.settings.Service,
+			Peer: n.settings.Peer, Caller: n.settings.Caller,
+		},
+		Caller: n.client, Clock: n.edges.Clock, Logger: n.part("tracker"), Seed: rand.Uint64(),
+		Versions: func() (known, active uint64) {
+			version := n.subscriber.Version()
+			return version, version
+		},
+		Heard: n.subscriber.Heard,
+	})
+	n.seeder = &seeder{
+		platform: n.protocol.Platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Peer,
+		logger: n.part("seeder"),
+	}
+	n.registrar = registrar.New(registrar.Options{
+		Service: n.settings.Service, Address: n.settings.Upstream.Address,
+		Span:  timekeeper.Millis(n.settings.Hosted.Heartbeat * float64(timekeeper.Second)),
+		Clock: n.edges.Clock, Logger: n.part("registrar"), Changed: n.announce,
+	})
+}
+
+func (n *Hosted) addRequests() {
+	incarnation := n.tracker.Self().Incarnation
+	n.isolator = isolator.New(isolator.Options{
+		Name: n.settings.Name, Incarnation: incarnation, Zone: n.settings.Zone, Zones: n.tracker.Zones,
+		Clock: n.edges.Clock, Caller: n.client, Directory: n.tracker,
+	})
+	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit})
+	n.drainer = drainer.New(drainer.Options{
+		Logger: n.part("drainer"), Grace: hostedGrace, Announce: func() { n.announce(n.registrar.Current()) },
+		Close: n.queue.Drain, Leave: n.tracker.Leave,
+	})
+	options := forwarder.Options{
+		Clock: n.edges.Clock, Logger: n.part("forwarder"), Name: n.settings.Name, Service: n.settings.Service,
+		Incarnation: incarnation, Zone: n.settings.Zone, Gate: n.drainer, Views: n.subscriber,
+		Picker: router.NewPicker(router.Options{
+			Directory: n.tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
+		}),
+		Caller: n.client, Retrier: retrier.New(retrier.Options{Clock: n.edges.Clock}), MaxBody: n.settings.Body,
+		Opaque: true, Isolator: n.isolator, Queue: n.queue, Prober: n.registrar,
+		Upstream: n.settings.Upstream.Address, Instance: n.registrar.Instance, Wrap: n.protocol.Upstream,
+	}
+	n.entry = forwarder.NewEntry(options)
+	n.host = forwarder.NewHost(options)
+}
+
+// queueLimit bounds the waiting work per rank. Its wait is bounded by targets and deadlines long before.
+const queueLimit = 1024
+
+// hostedGrace bounds the wait for work in flight at a planned stop.
+const hostedGrace = 5 * timekeeper.Second
+
+func (n *Hosted) register() error {
+	receivers := map[string]any{
+		"Tracker": n.tracker.Receiver(), "Subscriber": n.subscriber.Receiver(), "Isolator": n.isolator.Receiver(),
+		"Forwarder": n.host.Receiver(),
+	}
+	for name, receiver := range receivers {
+		if err := n.rpc.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// announce brings the node's membership entry and queue in line with its upstream.
+func (n *Hosted) announce(state registrar.State) {
+	if state.Slots > 0 && state.Slots != n.queue.Load().Slots {
+		n.queue.SetSlots(state.Slots)
+	}
+	n.tracker.SetSelf(func(m *tracker.Member) {
+		m.Slots, m.Started = state.Slots, state.Started
+		switch {
+		case n.drainer.Draining():
+			m.State = tracker.StateDraining
+		case state.Ready:
+			m.State = tracker.StateReady
+		default:
+			m.State = tracker.StateStarting
+		}
+	})
+}
+
+// ready reports whether the node takes callers.
+func (n *Hosted) ready() bool {
+	return n.subscriber.Ready() && !n.drainer.Draining()
+}
+
+// RunHosted runs a hosted node until ctx ends, then drains it.
+func RunHosted(ctx context.Context, settings loader.Settings, edges Edges, protocol Protocol) error {
+	debug.SetMemoryLimit(settings.Memory.Process)
+	debug.SetGCPercent(garbagePercent)
+	node, err := NewHosted(settings, edges, protocol)
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx)
+}
+
+// Run opens the node's addresses and runs its parts until ctx ends. Then it drains.
+func (n *Hosted) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group run.Group
+	peer := http.NewServeMux()
+	peer.Handle("/forward", n.host)
+	peer.Handle("/", n.rpc)
+	for _, one := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Hosted.Control, n.protocol.Control(n.registrar)},
+		{n.settings.Peer, peer},
+		{n.settings.Admin, n.meter},
+		{n.settings.Hosted.Ready, n.protocol.Ready(n.ready)},
+		{n.settings.Caller, n.protocol.Entry(newCallMetrics(n.meter, n.entry))},
+	} {
+		opened, err := listen(base, one.address, one.handler)
+		if err != nil {
+			return err
+		}
+		group.Add(opened.serve, func(error) { opened.close(false) })
+	}
+	parts := []func(context.Context) error{
+		n.tracker.Run, n.subscriber.Run, n.seeder.run, n.refresh,
+		func(ctx context.Context) error {
+			n.isolator.Run(ctx)
+			return nil
+		},
+	}
+	for _, part := range parts {
+		group.Add(func() error { return part(base) }, func(error) { cancel() })
+	}
+	group.Add(func() error { return n.awaitStop(ctx, base) }, func(error) { cancel() })
+	n.logger.Info("node: started", zap.String("service", n.settings.Service), zap.String("zone", n.settings.Zone))
+	err := group.Run()
+	n.client.Close()
+	n.rpc.Close()
+	n.entry.Close()
+	n.host.Close()
+	n.logger.Info("node: ended")
+	return err
+}
+
+// awaitStop waits for the order to stop and drains the node.
+func (n *Hosted) awaitStop(ctx, base context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-base.Done():
+		return nil
+	}
+	n.logger.Info("node: draining")
+	return n.drainer.Drain(base)
+}
+
+// refresh looks for an upstream that went silent.
+func (n *Hosted) refresh(ctx context.Context) error {
+	for connector.Sleep(ctx, refreshPeriod) == nil {
+		n.registrar.Refresh()
+	}
+	return nil
+}
