Keep attempts per route, survive SIGHUP, give callers notice before a stop

Ruled out: closing idle connections at once, which callers see as loss. Change: attempts that reached an upstream count against the route, those refused before do not cost budget; settings are read again at SIGHUP; a stopping node serves until two readiness checks have told so; a request may wait an eighth of its target before another data centre is taken.

--- a/internal/commander/lines_test.go
+++ b/internal/commander/lines_test.go
@@ -13,9 +13,9 @@
 var logPattern = regexp.MustCompile(
 	`(\w+)\.(?:Debug|Info|Warn|Error|log)\((?:[\w.]+(?:\([\w.]*\))?, )?"(?:[a-z]+: )?([a-z][^"]+)"`)
 
-// Guards against a log line that operators cannot look up in docs/operators.md at night.
+// Guards against a log line that operators cannot look up in docs/OPERATIONS.md at night.
 func TestLogLinesAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operators.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 // Guards against a link between pages, or to a heading, that leads nowhere.
 func TestLinksOfPagesExist(t *testing.T) {
 	pages := []string{
-		"../../README.md", "../../CONTRIBUTING.md", "../../CHANGELOG.md", "../../docs/operators.md",
+		"../../README.md", "../../CONTRIBUTING.md", "../../CHANGELOG.md", "../../docs/OPERATIONS.md",
 		"../../docs/settings.md", "../../docs/result-codes.md", "../../docs/glossary.md",
 	}
 	linkPattern := regexp.MustCompile(`\]\(([^)#:]*)(#[^)]*)?\)`)
@@ -84,7 +84,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("../../docs/operators.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -5,6 +5,8 @@
 	"errors"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 )
 
 func (p *program) nodeCommand() *cli.Command {
@@ -22,7 +24,7 @@
 			if err != nil {
 				return err
 			}
-			return p.run(ctx, settings)
+			return p.run(ctx, settings, func() (loader.Settings, error) { return p.settings(c) })
 		},
 	}
 }
--- a/internal/commander/program.go
+++ b/internal/commander/program.go
@@ -17,7 +17,7 @@
 	output      io.Writer
 	errors      io.Writer
 	environment []string // NAME=value
-	run         func(ctx context.Context, settings loader.Settings) error
+	run         func(ctx context.Context, settings loader.Settings, reload func() (loader.Settings, error)) error
 }
 
 func (p *program) execute(ctx context.Context, arguments []string) int {
--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -28,10 +28,13 @@
 }
 
 // runNode runs a node of its own or a hosted one, as the settings say.
-func runNode(ctx context.Context, settings loader.Settings) error {
+func runNode(ctx context.Context, settings loader.Settings, reload func() (loader.Settings, error)) error {
 	if !settings.Hosted.Enabled() {
 		return runner.Run(ctx, settings)
 	}
-	edges := runner.Edges{Clock: timekeeper.System(), Log: os.Stdout}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	edges := runner.Edges{Clock: timekeeper.System(), Log: os.Stdout, Hangups: hangups, Reload: reload}
 	return runner.RunHosted(ctx, settings, edges, platform.Protocol(settings))
 }
--- a/internal/commander/run_test.go
+++ b/internal/commander/run_test.go
@@ -20,7 +20,9 @@
 	s := &session{}
 	s.program = program{
 		input: strings.NewReader(""), output: &s.output, errors: &s.errors, environment: environment,
-		run: func(context.Context, loader.Settings) error { return errors.New("not expected") },
+		run: func(context.Context, loader.Settings, func() (loader.Settings, error)) error {
+			return errors.New("not expected")
+		},
 	}
 	return s
 }
@@ -48,7 +50,7 @@
 func TestNodeGetsMergedSettings(t *testing.T) {
 	s := newSession("JASMINE_SETTINGS=../loader/testdata/full.yaml", "JASMINE_ZONE=vereda-baja")
 	var got loader.Settings
-	s.run = func(_ context.Context, settings loader.Settings) error {
+	s.run = func(_ context.Context, settings loader.Settings, _ func() (loader.Settings, error)) error {
 		got = settings
 		return nil
 	}
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -16,6 +16,10 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
+// patienceShare is the part of a call's target, as a divisor, that a request may wait for an upstream of its own data
+// centre while one elsewhere is free. The rest is left to the run and to waits that were not foreseen.
+const patienceShare = 8
+
 // call is one request of a caller at its entry node.
 type call struct {
 	job      job
@@ -29,6 +33,7 @@
 	certain  bool              // the id was claimed and given back: no attempt of it ran
 	started  bool              // an earlier attempt may have run
 	deaths   int               // attempts during which the upstream ended
+	reached  int               // attempts that an upstream may have received
 	// Switches of mechanisms, set by tests only.
 	deliverShort, takeAny bool
 	inherited             bool // the request is part of a retry at an earlier node
@@ -57,6 +62,7 @@
 	c.job.Origin = e.Service
 	c.pick = router.Request{
 		Service: c.job.Service, Account: c.job.Account, Call: c.job.Call, Rank: c.job.Order,
+		Patience: c.job.Target / patienceShare,
 	}
 	if err = e.identify(c, now); err != nil {
 		return nil, err
--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -25,6 +25,7 @@
 	reported bool
 	broken   bool              // the exchange ended without a whole response
 	died     bool              // the upstream ended during the run
+	unsent   bool              // the request did not reach the upstream
 	wait     timekeeper.Millis // hint of a refusal
 	finished func()
 }
@@ -115,6 +116,7 @@
 	code, err := strconv.Atoi(response.Header.Get(HeaderCode))
 	wait, _ := decodeMillis(response.Header, headerWait, 0)
 	e.died = response.Header.Get(headerDied) != ""
+	e.unsent = response.Header.Get(headerReached) == "" && outcome == string(classifier.OutcomeNotRun)
 	c.certain = c.certain || response.Header.Get(headerCertain) != ""
 	if err != nil || outcome != string(classifier.OutcomeNotRun) {
 		e.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "%s", told.Reason)
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -150,10 +150,16 @@
 	if end.died {
 		c.deaths++
 	}
+	if !end.unsent {
+		c.reached++
+	}
+	if limit := c.route.Call.Attempts; limit > 0 && c.reached >= limit {
+		return false
+	}
 	// The hint of a refusal is about the member that refused, which the next attempt avoids.
 	decision := e.Retrier.Decide(retrier.Attempt{
 		Service: c.job.Service, Number: c.job.Attempt, Outcome: end.failure.Outcome, Code: end.failure.Code,
-		Idempotent: c.job.Idempotent, Retried: c.inherited, Deaths: c.deaths, Deadline: c.deadline,
+		Idempotent: c.job.Idempotent, Retried: c.inherited, Deaths: c.deaths, Deadline: c.deadline, Unsent: end.unsent,
 	})
 	if !decision.Retry {
 		return false
@@ -197,7 +203,9 @@
 	reserve := reserveOf(remaining)
 	c.job.Host = member.Name
 	if remaining <= 2*reserve {
-		return failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
+		end := failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
+		end.unsent = true
+		return end
 	}
 	c.sent = e.Clock.Now()
 	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
@@ -207,7 +215,9 @@
 	if err != nil {
 		e.watcher.stop(watch)
 		cancel()
-		return e.mend(ctx, c, member, interrupted(broken(ctx, c, err)))
+		end := interrupted(broken(ctx, c, err))
+		end.unsent = unsent(err)
+		return e.mend(ctx, c, member, end)
 	}
 	end := receive(ctx, c, response, cancel)
 	e.watcher.stop(watch)
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -26,6 +26,7 @@
 	headerAnswers  = "Jasmine-Answers" // host node to entry node: id and attempt that the response belongs to
 	headerCertain  = "Jasmine-Certain" // host node to entry node: the id was claimed and given back, so it never ran
 	headerDied     = "Jasmine-Died"    // host node to entry node: the upstream ended during the run
+	headerReached  = "Jasmine-Reached" // host node to entry node: the request was sent to the upstream
 	headerLength   = "Jasmine-Length"  // host node to entry node: Content-Length of an answer to HEAD
 	headerLengthIn = "Content-Length"
 	headerAgent    = "User-Agent"
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -40,7 +40,9 @@
 		}
 		switch finding := reply.Findings[0]; finding.State {
 		case StateNotRun:
-			return failed(classifier.Refuse(finding.Code, c.job.Call, "the host node did not start the attempt"))
+			end := failed(classifier.Refuse(finding.Code, c.job.Call, "the host node did not start the attempt"))
+			end.unsent = true
+			return end
 		case StateDone:
 			return finished(c, &reply, finding, failure)
 		case StateLost:
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -29,6 +29,9 @@
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
 	response, err := h.exchanger.RoundTrip(request)
+	if err == nil || !unsent(err) {
+		x.writer.Header()[headerReached] = []string{"1"}
+	}
 	if err != nil {
 		return nil, upstreamFailure(ctx, j, err)
 	}
--- a/internal/loader/load_test.go
+++ b/internal/loader/load_test.go
@@ -28,7 +28,7 @@
 		Internal: "0123456789abcdef",
 		Operator: "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
 		Memory:   Memory{Records: 1 << 20, Process: 128 << 20},
-		Body:     2048, Delay: 9, Log: "warn",
+		Body:     2048, Hosted: Default().Hosted, Delay: 9, Log: "warn",
 	}
 	if diff := cmp.Diff(want, settings); diff != "" {
 		t.Fatalf("settings differ (-want +got):\n%s", diff)
--- a/internal/retrier/attempt.go
+++ b/internal/retrier/attempt.go
@@ -17,6 +17,7 @@
 	Idempotent bool
 	Retried    bool
 	Deaths     int
+	Unsent     bool // no upstream received the attempt, so the next one costs nothing of the budget
 	Deadline   timekeeper.Millis
 	After      timekeeper.Millis
 }
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -32,7 +32,7 @@
 func (r *Retrier) Decide(a Attempt) Decision {
 	now := r.clock.Now()
 	decision := judge(now, a, r.rules)
-	if !decision.Retry || r.rules.unlimited {
+	if !decision.Retry || a.Unsent || r.rules.unlimited {
 		return decision
 	}
 	if !r.budget(a.Service).spend(now) {
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -41,6 +41,9 @@
 	Rank    int      // order of the rank
 	Home    string   // data centre to prefer instead of this node's, or ""
 	Avoid   []string // members that were tried before; used only where there is no other
+	// Patience is the wait in ms that the request can bear in the local data centre: the way to another one costs
+	// money also where it saves time.
+	Patience timekeeper.Millis
 }
 
 // Report is the end of one call as seen by the entry node.
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -26,7 +26,7 @@
 			break
 		}
 	}
-	if best.member != nil && cost <= 0 {
+	if best.member != nil && cost <= float64(s.request.Patience) {
 		return best
 	}
 	for i := range usable.zones {
--- a/internal/runner/edges.go
+++ b/internal/runner/edges.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"net"
+	"os"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -19,4 +21,7 @@
 	Dial     Dial               // connections to other nodes and to the platform
 	Platform connector.Platform // nil for the HTTP client that the settings describe
 	Log      io.Writer
+	// Hangups tells that the settings may have changed, and Reload reads them again. Used by hosted nodes.
+	Hangups <-chan os.Signal
+	Reload  func() (loader.Settings, error)
 }
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -51,6 +53,8 @@
 	drainer    *drainer.Drainer
 	entry      *forwarder.Entry
 	host       *forwarder.Host
+	stopping   atomic.Bool
+	turned     chan struct{} // one entry for each readiness check that was answered no during the stop
 }
 
 // NewHosted assembles a node. It opens no address and makes no connection; Run does.
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Hosted{settings: settings, edges: edges, protocol: protocol, logger: log, meter: meter.New()}
+	n := &Hosted{settings: settings, edges: edges, protocol: protocol, logger: log, meter: meter.New(), turned: make(chan struct{}, noticeChecks)}
 	options := messenger.Options{Zone: settings.Zone, Traffic: &messenger.Traffic{}, Logger: n.part("messenger")}
 	n.client = messenger.NewClient(options)
 	n.rpc = messenger.NewServer(options)
@@ -110,8 +114,7 @@
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit})
 	n.drainer = drainer.New(drainer.Options{
-		Logger: n.part("drainer"), Grace: hostedGrace, Announce: func() { n.announce(n.registrar.Current()) },
-		Close: n.queue.Drain, Leave: n.tracker.Leave,
+		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.tracker.Leave,
 	})
 	options := forwarder.Options{
 		Clock: n.edges.Clock, Logger: n.part("forwarder"), Name: n.settings.Name, Service: n.settings.Service,
@@ -130,8 +133,16 @@
 // queueLimit bounds the waiting work per rank. Its wait is bounded by targets and deadlines long before.
 const queueLimit = 1024
 
-// hostedGrace bounds the wait for work in flight at a planned stop.
-const hostedGrace = 5 * timekeeper.Second
+const (
+	// hostedGrace bounds the wait for work in flight at a planned stop.
+	hostedGrace = 3 * timekeeper.Second
+	// noticeChecks is the number of readiness checks after which callers send a stopping node no new work.
+	noticeChecks = 2
+	// noticeSpan bounds the wait for these checks, which come once a second.
+	noticeSpan = 2500 * timekeeper.Millis(1)
+	// noticeMargin is how long a caller may take to act on the last check, in ms.
+	noticeMargin = 150 * timekeeper.Millis(1)
+)
 
 func (n *Hosted) register() error {
 	receivers := map[string]any{
@@ -154,7 +165,7 @@
 	n.tracker.SetSelf(func(m *tracker.Member) {
 		m.Slots, m.Started = state.Slots, state.Started
 		switch {
-		case n.drainer.Draining():
+		case n.stopping.Load():
 			m.State = tracker.StateDraining
 		case state.Ready:
 			m.State = tracker.StateReady
@@ -166,7 +177,14 @@
 
 // ready reports whether the node takes callers.
 func (n *Hosted) ready() bool {
-	return n.subscriber.Ready() && !n.drainer.Draining()
+	if n.stopping.Load() {
+		select {
+		case n.turned <- struct{}{}:
+		default:
+		}
+		return false
+	}
+	return n.subscriber.Ready()
 }
 
 // RunHosted runs a hosted node until ctx ends, then drains it.
@@ -196,7 +214,7 @@
 		{n.settings.Peer, peer},
 		{n.settings.Admin, n.meter},
 		{n.settings.Hosted.Ready, n.protocol.Ready(n.ready)},
-		{n.settings.Caller, n.protocol.Entry(newCallMetrics(n.meter, n.entry))},
+		{n.settings.Caller, n.protocol.Entry(n.endConnections(newCallMetrics(n.meter, n.entry)))},
 	} {
 		opened, err := listen(base, one.address, one.handler)
 		if err != nil {
@@ -205,7 +223,7 @@
 		group.Add(opened.serve, func(error) { opened.close(false) })
 	}
 	parts := []func(context.Context) error{
-		n.tracker.Run, n.subscriber.Run, n.seeder.run, n.refresh,
+		n.tracker.Run, n.subscriber.Run, n.seeder.run, n.refresh, n.reload,
 		func(ctx context.Context) error {
 			n.isolator.Run(ctx)
 			return nil
@@ -233,9 +251,54 @@
 		return nil
 	}
 	n.logger.Info("node: draining")
+	n.stopping.Store(true)
+	n.announce(n.registrar.Current())
+	n.awaitNotice(base)
 	return n.drainer.Drain(base)
 }
 
+// endConnections asks callers for a new connection after each response during a stop.
+func (n *Hosted) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header()["Connection"] = []string{"close"}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// reload compares the settings with those at the start whenever the process is told that they changed. All of them
+// describe addresses and the place of the node, so a change takes effect at the next start.
+func (n *Hosted) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.edges.Hangups:
+		}
+		settings, err := n.edges.Reload()
+		if err != nil {
+			n.logger.Error("node: settings are not valid and stay as they are", zap.Error(err))
+			continue
+		}
+		n.logger.Info("node: settings read again", zap.Bool("changed", !reflect.DeepEqual(settings, n.settings)))
+	}
+}
+
+// awaitNotice serves callers on until they have noticed that the node is no longer ready.
+func (n *Hosted) awaitNotice(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, noticeSpan.Duration())
+	defer cancel()
+	for range noticeChecks {
+		select {
+		case <-n.turned:
+		case <-bounded.Done():
+			return
+		}
+	}
+	_ = connector.Sleep(bounded, noticeMargin)
+}
+
 // refresh looks for an upstream that went silent.
 func (n *Hosted) refresh(ctx context.Context) error {
 	for connector.Sleep(ctx, refreshPeriod) == nil {
