--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -11,6 +11,7 @@
 	running int
 	queued  int
 	limit   int // waiting work per rank
+	share   int // percentage of started work that each rank keeps at least
 	closed  bool
 	ranks   [Ranks]rank
 	starts  window
@@ -77,7 +78,7 @@
 		return
 	}
 	r := m.rank(t)
-	r.share = t.Share
+	r.share = max(t.Share, m.share)
 	if m.noTurns {
 		t.flow = r.find("", "all")
 	} else {
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -15,6 +15,7 @@
 	Clock timekeeper.Clock
 	Slots int
 	Limit int // waiting work per rank; 0 for 64 times the slots
+	Share int // percentage of started work that each rank keeps at least, whatever its own share says
 }
 
 // Queue puts a Machine behind a lock and channels. The lock is held for about a microsecond per call: a slot of one
@@ -33,6 +34,7 @@
 		limit = 64 * max(options.Slots, 1)
 	}
 	q := &Queue{clock: options.Clock, machine: NewMachine(options.Slots, limit)}
+	q.machine.share = options.Share
 	q.load.Store(&Load{Slots: options.Slots})
 	return q
 }
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -112,7 +112,7 @@
 		Name: n.settings.Name, Incarnation: incarnation, Zone: n.settings.Zone, Zones: n.tracker.Zones,
 		Clock: n.edges.Clock, Caller: n.client, Directory: n.tracker,
 	})
-	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit})
+	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit, Share: rankShare})
 	n.drainer = drainer.New(drainer.Options{
 		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.tracker.Leave,
 	})
@@ -130,8 +130,13 @@
 	n.host = forwarder.NewHost(options)
 }
 
-// queueLimit bounds the waiting work per rank. Its wait is bounded by targets and deadlines long before.
-const queueLimit = 1024
+const (
+	// queueLimit bounds the waiting work per rank. Its wait is bounded by targets and deadlines long before.
+	queueLimit = 1024
+	// rankShare is the percentage of started work that each waiting rank keeps while more urgent ones flood. The
+	// platform's configuration orders ranks and states no shares, and no kind of request may starve.
+	rankShare = 20
+)
 
 const (
 	// hostedGrace bounds the wait for work in flight at a planned stop.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. It bounds the time for which a connection that went silent
-	// hides changes from a node that hears of them from no other one.
-	watchWait = 10 * timekeeper.Second
+	// watchWait is how long one watch waits for a change. A watch may miss changes, when its connection goes silent or
+	// when the platform drops its history, and each change has to be in force within 3 s.
+	watchWait = 2 * timekeeper.Second
 	// backoffBase and backoffCap bound the wait after a failed call: each one is paid for, and after an outage a
 	// node has to catch up within a second or two.
 	backoffBase = 200 * timekeeper.Millis(1)
