Serve late requests behind those that can still meet their target

Change: an entry node keeps the longest remaining time of each call; a request with less by more than its target is late and goes behind all work that is not. The same figure tells nested calls.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -13,7 +13,7 @@
 	limit   int // waiting work per rank
 	share   int // percentage of started work that each rank keeps at least
 	closed  bool
-	ranks   [Ranks]rank
+	ranks   [2 * Ranks]rank // those of late work come behind the others
 	starts  window
 	service float64 // average service time over all work, ms
 	actions []Action
@@ -62,7 +62,11 @@
 	if m.noRanks {
 		return &m.ranks[0]
 	}
-	return &m.ranks[min(max(t.Order, 0), Ranks-1)]
+	order := min(max(t.Order, 0), Ranks-1)
+	if t.Late {
+		order += Ranks
+	}
+	return &m.ranks[order]
 }
 
 func (m *Machine) arrive(now timekeeper.Millis, t *Ticket) {
@@ -78,7 +82,9 @@
 		return
 	}
 	r := m.rank(t)
-	r.share = max(t.Share, m.share)
+	if !t.Late {
+		r.share = max(t.Share, m.share)
+	}
 	if m.noTurns {
 		t.flow = r.find("", "all")
 	} else {
@@ -115,10 +121,17 @@
 	return max(late, 0)
 }
 
+// latePatience is the part of its target, as a divisor, that late work waits. It has missed its target already, so it
+// only takes slots that are about to be free.
+const latePatience = 8
+
 // patience is the estimated wait up to which work with a target is queued. In a flood the queue stays at this limit,
 // and both the estimate and the service time vary: a limit at the target itself made four of five started answers late
 // at 10 times capacity. A short queue at ordinary load is given the whole target.
 func (m *Machine) patience(now timekeeper.Millis, t *Ticket) timekeeper.Millis {
+	if t.Late {
+		return t.Target / latePatience
+	}
 	service := timekeeper.Millis(t.flow.service)
 	r := m.rank(t)
 	if m.alwaysStrict || r.queued > 0 && now-r.since > t.Target {
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -142,8 +142,12 @@
 		return classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "the deadline passed before the call started")
 	}
 	c.deadline = now + min(remaining, c.route.Call.Timeout)
-	if e.nesting.nested(now, c.job.Call, remaining <= c.route.Call.Timeout) {
+	longest := e.horizons.add(now, c.job.Call, remaining)
+	switch {
+	case longest <= c.route.Call.Timeout:
 		c.job.Target = 0 // the run that makes the call would be lost with a refusal; a late answer is better
+	case c.job.Target > 0:
+		c.job.Late = longest-remaining > c.job.Target
 	}
 	c.inherited = r.Header.Get(headerRetry) != ""
 	c.job.Retry = c.inherited
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -27,7 +27,7 @@
 	matcher   router.Matcher
 	transport *http.Transport
 	watcher   *watcher
-	nesting   nesting
+	horizons  horizons
 	end       context.CancelFunc
 
 	// Switches of mechanisms, set by tests only.
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -140,6 +140,7 @@
 	}
 	release, err := h.Queue.Admit(ctx, admitter.Work{
 		Account: x.Account, Call: x.Call, Order: x.Order, Share: x.Share, Target: x.Target, Deadline: x.deadline,
+		Late: x.Late,
 	})
 	if err != nil {
 		h.unclaim(x)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -23,6 +23,7 @@
 	Idempotent  bool
 	Fresh       bool // the entry node made the id, so nobody else can have presented it
 	Retry       bool // the request is part of a retry, here or at a node before
+	Late        bool // the target passed before the request came here
 	Order       int
 	Share       int
 	Target      timekeeper.Millis
@@ -43,7 +44,7 @@
 func (j *job) encode() string {
 	text := make([]byte, 0, 128)
 	for _, number := range [...]int64{
-		jobFormat, int64(j.Attempt), flags(j.Idempotent, j.Fresh, j.Retry), int64(j.Order), int64(j.Share),
+		jobFormat, int64(j.Attempt), flags(j.Idempotent, j.Fresh, j.Retry, j.Late), int64(j.Order), int64(j.Share),
 		int64(j.Target), int64(j.Remaining), int64(j.Depth), int64(j.Expires),
 	} {
 		text = strconv.AppendInt(text, number, 10)
@@ -96,6 +97,7 @@
 	}
 	j := &job{
 		Attempt: int(numbers[1]), Idempotent: numbers[2]&1 != 0, Fresh: numbers[2]&2 != 0, Retry: numbers[2]&4 != 0,
+		Late:  numbers[2]&8 != 0,
 		Order: int(numbers[3]), Share: int(numbers[4]), Target: timekeeper.Millis(numbers[5]),
 		Remaining: timekeeper.Millis(numbers[6]), Depth: int(numbers[7]), Expires: timekeeper.Millis(numbers[8]),
 		Fingerprint: fingerprint, Token: token,
