Wait a third of the target before another data centre is taken

Change: patience of a third; two more upstreams of the own data centre are drawn before one elsewhere is taken.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -18,7 +18,7 @@
 
 // patienceShare is the part of a call's target, as a divisor, that a request may wait for an upstream of its own data
 // centre while one elsewhere is free. The rest is left to the run and to waits that were not foreseen.
-const patienceShare = 8
+const patienceShare = 3
 
 // call is one request of a caller at its entry node.
 type call struct {
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -23,6 +23,9 @@
 			if best.member != nil {
 				cost = s.wait(best)
 			}
+			if cost > float64(s.request.Patience) && len(usable.zones) > 1 {
+				best, cost = s.again(z.candidates, best, cost)
+			}
 			break
 		}
 	}
@@ -62,6 +65,19 @@
 	return second
 }
 
+// again draws two more candidates, which is cheaper than the way to another data centre. A look at all of them would
+// let many nodes with the same old reports choose the same one.
+func (s *search) again(candidates []candidate, best candidate, cost float64) (candidate, float64) {
+	other := s.two(candidates)
+	if other.member == nil {
+		return best, cost
+	}
+	if wait := s.wait(other); wait < cost {
+		return other, wait
+	}
+	return best, cost
+}
+
 // one returns the first candidate that takes this work, from a random place on.
 func (s *search) one(candidates []candidate, except *endpoint) candidate {
 	if len(candidates) == 0 {
