--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,145 @@
+package registrar
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
+
+const address = "127.0.0.1:9"
+
+func newRegistrar() (*Registrar, *timekeeper.ManualClock) {
+	clock := timekeeper.Manual(timekeeper.Minute)
+	return New(Options{
+		Service: "ledger", Address: address, Span: 1500, Clock: clock.Clock(), Logger: zap.NewNop(),
+	}), clock
+}
+
+func beat(born, sequence uint64) Beat {
+	return Beat{ID: "i-1", Service: "ledger", Address: address, Slots: 6, Sequence: sequence, Born: born}
+}
+
+func leaving(b Beat) Beat {
+	b.Leaving = true
+	return b
+}
+
+// Guards against an upstream that takes new work again because its messages arrive out of order or from an earlier
+// process.
+func TestOrderOfMessages(t *testing.T) {
+	for name, c := range map[string]struct {
+		play func(r *Registrar) error
+		want bool // ready in the end
+	}{
+		"first heartbeat":        {func(r *Registrar) error { return r.Beat(beat(1, 1)) }, true},
+		"leaving":                {func(r *Registrar) error { return r.Beat(leaving(beat(1, 1))) }, false},
+		"late after leaving":     {both(leaving(beat(1, 5)), beat(1, 4)), false},
+		"newer after leaving":    {both(leaving(beat(1, 5)), beat(1, 6)), false},
+		"next process":           {both(leaving(beat(1, 5)), beat(2, 1)), true},
+		"process before":         {both(beat(2, 1), leaving(beat(1, 9))), true},
+		"goodbye":                {after(Leave{ID: "i-1", Born: 1}, beat(1, 1)), false},
+		"goodbye without a born": {after(Leave{ID: "i-1"}, beat(1, 1)), false},
+		"goodbye of another id":  {after(Leave{ID: "i-0"}, beat(1, 1)), true},
+		"goodbye of the process before": {
+			after(Leave{ID: "i-1", Born: 1}, beat(2, 1)), true,
+		},
+		"heartbeat after a goodbye that came first": {func(r *Registrar) error {
+			r.Leave(Leave{ID: "i-1", Born: 1})
+			return r.Beat(beat(1, 7))
+		}, false},
+		"next process after a goodbye that came first": {func(r *Registrar) error {
+			r.Leave(Leave{ID: "i-1", Born: 1})
+			return r.Beat(beat(2, 1))
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newRegistrar()
+			if err := c.play(r); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, r.Alive()); diff != "" {
+				t.Errorf("ready differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func both(first, second Beat) func(r *Registrar) error {
+	return func(r *Registrar) error {
+		if err := r.Beat(first); err != nil {
+			return err
+		}
+		return r.Beat(second)
+	}
+}
+
+func after(l Leave, b Beat) func(r *Registrar) error {
+	return func(r *Registrar) error {
+		err := r.Beat(b)
+		r.Leave(l)
+		return err
+	}
+}
+
+// Guards against a heartbeat of another writer that changes what is known of the upstream.
+func TestForeignHeartbeats(t *testing.T) {
+	r, _ := newRegistrar()
+	if err := r.Beat(beat(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	before := r.Current()
+	for name, change := range map[string]func(*Beat){
+		"service": func(b *Beat) { b.Service = "other" },
+		"address": func(b *Beat) { b.Address = "127.0.0.1:10" },
+		"slots":   func(b *Beat) { b.Slots = 0 },
+		"id":      func(b *Beat) { b.ID = "" },
+	} {
+		forged := beat(9, 9)
+		change(&forged)
+		if code := classifier.CodeOf(r.Beat(forged)); code != classifier.CodeBadRequest {
+			t.Errorf("%s: code %d", name, code)
+		}
+	}
+	if diff := cmp.Diff(before, r.Current()); diff != "" {
+		t.Errorf("state differs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against work for an upstream that fell silent, and against one that stays out of use after it is back.
+func TestSilence(t *testing.T) {
+	r, clock := newRegistrar()
+	if err := r.Beat(beat(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(silentBeats * 1500)
+	r.Refresh()
+	if !r.Alive() {
+		t.Fatal("gone while heartbeats may still come")
+	}
+	clock.Advance(1)
+	r.Refresh()
+	if r.Alive() {
+		t.Fatal("still in use after its silence")
+	}
+	if err := r.Beat(beat(1, 2)); err != nil || !r.Alive() {
+		t.Errorf("not back after a heartbeat, error %v", err)
+	}
+}
+
+// Guards against an end of the upstream that is not counted, since crashing requests are recognised by it.
+func TestCheckCountsAnEnd(t *testing.T) {
+	r, _ := newRegistrar() // nobody listens at the address
+	if err := r.Beat(beat(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if r.Check(t.Context()) || r.Alive() || r.Restarts() != 1 {
+		t.Errorf("alive %v after %d ends", r.Alive(), r.Restarts())
+	}
+	if r.Check(t.Context()); r.Restarts() != 1 {
+		t.Errorf("one end counted as %d", r.Restarts())
+	}
+}
--- /dev/null
+++ b/internal/subscriber/subscriber_test.go
@@ -0,0 +1,130 @@
+package subscriber
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"testing/synctest"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
+	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// scripted is a platform whose calls are answered by functions.
+type scripted struct {
+	connector.Platform
+	list  func() (connector.Snapshot, error)
+	watch func(after uint64, wait timekeeper.Millis) (connector.Snapshot, error)
+}
+
+func (s *scripted) List(context.Context, string) (connector.Snapshot, error) {
+	return s.list()
+}
+
+func (s *scripted) Watch(
+	ctx context.Context, _ string, after uint64, wait timekeeper.Millis,
+) (connector.Snapshot, error) {
+	if err := connector.Sleep(ctx, wait); err != nil {
+		return connector.Snapshot{}, err
+	}
+	return s.watch(after, wait)
+}
+
+// peers answers Subscriber.Fetch from another subscriber.
+type peers struct{ other *Subscriber }
+
+func (p *peers) Call(_ context.Context, _, _ string, arguments, reply any, _ timekeeper.Millis) error {
+	asked, _ := arguments.(*FetchArguments)
+	answer, _ := reply.(*FetchReply)
+	return (&Receiver{p.other}).Fetch(asked, answer)
+}
+
+func decode(value []byte) (*compiler.View, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	return &compiler.View{Version: version}, err
+}
+
+func newSubscriber(platform connector.Platform, caller Caller) *Subscriber {
+	return New(Options{
+		Platform: platform, Kind: "config", Name: "main", Decode: decode, Caller: caller, Clock: timekeeper.System(),
+		Logger: zap.NewNop(), Random: rand.New(rand.NewPCG(1, 1)),
+	})
+}
+
+func stored(version string) connector.Snapshot {
+	return connector.Snapshot{Revision: 1, Objects: []connector.Object{
+		{Kind: "config", Name: "other", Value: []byte("99")}, {Kind: "config", Name: "main", Value: []byte(version)},
+	}}
+}
+
+// Guards against a node that goes back to an older version or loses its view to an invalid one.
+func TestVersionsOnlyRise(t *testing.T) {
+	s := newSubscriber(nil, nil)
+	var got []uint64
+	for _, value := range []string{"4", "3", "not a version", "4", "9", "8"} {
+		s.apply([]byte(value), "platform")
+		got = append(got, s.Version())
+	}
+	if diff := cmp.Diff([]uint64{4, 4, 4, 4, 9, 9}, got); diff != "" {
+		t.Errorf("versions differ (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a node that keeps an old version when its watch lost the history, or after an outage.
+func TestListsAgainAfterALostWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lists := 0
+		platform := &scripted{
+			list: func() (connector.Snapshot, error) {
+				lists++
+				if lists == 2 {
+					return connector.Snapshot{}, classifier.New(classifier.CodeUnavailable, "config", "down")
+				}
+				return stored(strconv.Itoa(lists)), nil
+			},
+			watch: func(uint64, timekeeper.Millis) (connector.Snapshot, error) {
+				return connector.Snapshot{}, classifier.New(classifier.CodeUnavailable, "config", "history is gone")
+			},
+		}
+		s := newSubscriber(platform, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		_ = connector.Sleep(t.Context(), watchWait+2*backoffCap)
+		if s.Version() != 3 {
+			t.Errorf("version %d after %d lists", s.Version(), lists)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against a node that stays behind while the platform turns it away and another node has the new version.
+func TestFetchesFromAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := &scripted{list: func() (connector.Snapshot, error) { return connector.Snapshot{}, errors.New("turned away") }}
+		ahead := newSubscriber(nil, nil)
+		ahead.apply([]byte("7"), "platform")
+		s := newSubscriber(down, &peers{ahead})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		s.Heard(tracker.Member{Peer: "peer:1"}, 7)
+		synctest.Wait()
+		if s.Version() != 7 || !s.Ready() {
+			t.Errorf("version %d", s.Version())
+		}
+		cancel()
+		<-done
+	})
+}
