Log the decisions about failed requests, off the request path and bounded

Cause: a failed request left no line by which an engineer finds its cause. Ruled out: a line for each request: it costs processor time on machines of a sixth of a core; answered requests are counted.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -122,6 +122,7 @@
 		copied.Outcome = classifier.OutcomeUnknown
 		failure = &copied
 	}
+	e.logEnd(c, failure)
 	e.fail(w, failure)
 }
 
@@ -140,6 +141,7 @@
 			failure = &copied
 		}
 	}
+	e.logEnd(c, failure)
 	e.fail(w, failure)
 }
 
@@ -155,6 +157,7 @@
 		c.reached++
 	}
 	if limit := c.route.Call.Attempts; limit > 0 && c.reached >= limit {
+		e.logAttempt(c, member, end, retrier.Decision{Reason: retrier.ReasonAttempts})
 		return false
 	}
 	// The hint of a refusal is about the member that refused, which the next attempt avoids.
@@ -162,6 +165,7 @@
 		Service: c.job.Service, Number: c.job.Attempt, Outcome: end.failure.Outcome, Code: end.failure.Code,
 		Idempotent: c.job.Idempotent, Retried: c.inherited, Deaths: c.deaths, Deadline: c.deadline, Unsent: end.unsent,
 	})
+	e.logAttempt(c, member, end, decision)
 	if !decision.Retry {
 		return false
 	}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -88,6 +88,7 @@
 	var failure *classifier.Error
 	if state, failure = h.serve(ctx, x); failure != nil {
 		code = failure.Code
+		h.logFailure(x, failure)
 		h.fail(w, failure)
 	}
 }
@@ -198,6 +199,7 @@
 	if failure != nil {
 		return stateOf(failure), failure
 	}
+	h.logAnswer(x, answer)
 	h.survivors.Add(x.Fingerprint)
 	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load()))
 	return StateDone, nil
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -12,6 +12,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
 	"github.com/jasmineproxy/jasmineproxy/internal/isolator"
+	"github.com/jasmineproxy/jasmineproxy/internal/logger"
 	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
@@ -59,10 +60,12 @@
 
 // Options are the parts that NewEntry and NewHost assemble. Parts that are nil are left out.
 type Options struct {
-	Clock   timekeeper.Clock
-	Logger  *zap.Logger
-	Name    string // member name of this node
-	Service string // service of the upstream beside this node
+	Clock  timekeeper.Clock
+	Logger *zap.Logger
+	// Decisions gets a line for each failed attempt and request; nil for none.
+	Decisions *logger.Decisions
+	Name      string // member name of this node
+	Service   string // service of the upstream beside this node
 	// Incarnation is that of the node in the membership table.
 	Incarnation uint64
 	Zone        string
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"reflect"
@@ -39,6 +40,7 @@
 	settings loader.Settings
 	edges    Edges
 	protocol Protocol
+	lines    *logger.Async
 	logger   *zap.Logger
 	meter    *meter.Meter
 	client   *messenger.Client
@@ -59,11 +61,12 @@
 
 // NewHosted assembles a node. It opens no address and makes no connection; Run does.
 func NewHosted(settings loader.Settings, edges Edges, protocol Protocol) (*Hosted, error) {
-	log, err := logger.New(settings.Log, edges.Log)
+	lines := logger.NewAsync(edges.Log)
+	log, err := logger.New(settings.Log, lines)
 	if err != nil {
 		return nil, err
 	}
-	n := &Hosted{settings: settings, edges: edges, protocol: protocol, logger: log, meter: meter.New(), turned: make(chan struct{}, noticeChecks)}
+	n := &Hosted{lines: lines, settings: settings, edges: edges, protocol: protocol, logger: log, meter: meter.New(), turned: make(chan struct{}, noticeChecks)}
 	options := messenger.Options{Zone: settings.Zone, Traffic: &messenger.Traffic{}, Logger: n.part("messenger")}
 	n.client = messenger.NewClient(options)
 	n.rpc = messenger.NewServer(options)
@@ -117,7 +120,8 @@
 		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.tracker.Leave,
 	})
 	options := forwarder.Options{
-		Clock: n.edges.Clock, Logger: n.part("forwarder"), Name: n.settings.Name, Service: n.settings.Service,
+		Clock: n.edges.Clock, Logger: n.part("forwarder"),
+		Decisions: logger.NewDecisions(n.part("forwarder")), Name: n.settings.Name, Service: n.settings.Service,
 		Incarnation: incarnation, Zone: n.settings.Zone, Gate: n.drainer, Views: n.subscriber,
 		Picker: router.NewPicker(router.Options{
 			Directory: n.tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
@@ -238,6 +242,9 @@
 		group.Add(func() error { return part(base) }, func(error) { cancel() })
 	}
 	group.Add(func() error { return n.awaitStop(ctx, base) }, func(error) { cancel() })
+	written := make(chan error, 1)
+	logging, endLogging := context.WithCancel(context.WithoutCancel(ctx))
+	go func() { written <- n.lines.Run(logging) }()
 	n.logger.Info("node: started", zap.String("service", n.settings.Service), zap.String("zone", n.settings.Zone))
 	err := group.Run()
 	n.client.Close()
@@ -245,7 +252,8 @@
 	n.entry.Close()
 	n.host.Close()
 	n.logger.Info("node: ended")
-	return err
+	endLogging()
+	return errors.Join(err, <-written)
 }
 
 // awaitStop waits for the order to stop and drains the node.
