Send a nested call to another upstream when one reports a failure

Cause: an upstream that fails part of its work while its status check is good costs the whole run that made the call. Change: only nested calls, within the retry budget.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -32,6 +32,7 @@
 	sent     timekeeper.Millis // when the present attempt began
 	certain  bool              // the id was claimed and given back: no attempt of it ran
 	started  bool              // an earlier attempt may have run
+	nested   bool              // an upstream makes the call within a run
 	deaths   int               // attempts during which the upstream ended
 	reached  int               // attempts that an upstream may have received
 	// Switches of mechanisms, set by tests only.
@@ -145,6 +146,7 @@
 	longest := e.horizons.add(now, c.job.Call, remaining)
 	switch {
 	case longest <= c.route.Call.Timeout:
+		c.nested = true
 		c.job.Target = 0 // the run that makes the call would be lost with a refusal; a late answer is better
 	case c.job.Target > 0:
 		c.job.Late = longest-remaining > c.job.Target
--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -185,6 +185,11 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// faulty reports whether the answer is a failure of the upstream. A timeout would only come again.
+func (e *ending) faulty() bool {
+	return e.status >= http.StatusInternalServerError && e.status != http.StatusGatewayTimeout
+}
+
 // close releases what the attempt holds and reports its end, once.
 func (e *ending) close() {
 	if e.finished != nil {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -100,10 +100,15 @@
 			w.Header()[HeaderAttempts] = []string{strconv.Itoa(c.job.Attempt)}
 		}
 		end := e.attempt(ctx, c, &member)
-		if end.failure == nil {
+		if end.failure == nil && !e.replace(ctx, c, &member, end) {
 			end.deliver(w, c)
 			return
 		}
+		if end.failure == nil {
+			end.close()
+			c.started = true
+			continue
+		}
 		last = end.failure
 		c.started = c.started || last.Outcome != classifier.OutcomeNotRun
 		if !e.again(ctx, c, &member, end) {
@@ -113,6 +118,18 @@
 	}
 }
 
+// replace decides whether a nested call whose upstream reported a failure is sent to another one, if it is idempotent.
+// Upstreams that fail a part of their work are not known by their health, and the run that made the call would be
+// lost. Callers make their requests again themselves, and a repeated run would repeat the calls in it as well.
+func (e *Entry) replace(ctx context.Context, c *call, member *tracker.Member, end *ending) bool {
+	if !c.nested || !c.job.Idempotent || !end.faulty() {
+		return false
+	}
+	shown := *end
+	shown.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "the upstream answered %d", end.status)
+	return e.again(ctx, c, member, &shown)
+}
+
 // refuse reports a failure. "Not run" is a statement about the request and not only about its last attempt: an earlier
 // attempt may have run, and where an id from a caller is refused without its claim, an earlier presentation of the id.
 func (e *Entry) refuse(w http.ResponseWriter, c *call, failure *classifier.Error) {
@@ -194,6 +211,7 @@
 func (e *Entry) report(c *call, end *ending, latency timekeeper.Millis) router.Report {
 	report := router.Report{Request: c.pick, Latency: latency, Retry: end.wait}
 	report.Running, report.Queued, report.Reported = end.load.Running, end.load.Queued, end.reported
+	report.Failed = end.failure == nil && end.faulty()
 	if end.failure != nil {
 		report.Code = end.failure.Code
 		report.Failed = end.failure.Outcome == classifier.OutcomeUnknown ||
