End a hosted node within its time also beside idle connections

Ruled out: work in flight, which is bounded by its own wait. Change: each step after the work in flight takes 200 ms at most; the wait for work is 2.5 s behind a notice of 2.65 s, within the 6 s. One function maps statuses of an object API for both clients of one.

--- a/internal/admitter/late_test.go
+++ b/internal/admitter/late_test.go
@@ -45,7 +45,7 @@
 	for _, c := range []struct{ share, want int }{{0, 0}, {20, 2}} {
 		m := NewMachine(1, 100)
 		m.share = c.share
-		var waiting []*Ticket
+		waiting := make([]*Ticket, 0, 40)
 		for range 20 {
 			waiting = append(waiting, work("urgent", 0, false), work("patient", 2, false))
 		}
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -133,7 +133,7 @@
 		return answer{}, classifier.Wrap(classifier.CodeUnavailable, path, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return answer{}, statusError(response.StatusCode, path, content)
+		return answer{}, StatusError(response.StatusCode, path, content)
 	}
 	revision, err := readTag(response.Header.Get("ETag"))
 	if err != nil {
@@ -168,13 +168,15 @@
 	}
 }
 
-func statusError(status int, path string, content []byte) error {
+// StatusError turns a status of an object API that is no success into an error with a 5xx code. The content gives the
+// reason.
+func StatusError(status int, path string, content []byte) error {
 	reason := strings.TrimSpace(string(content[:min(len(content), 200)]))
 	code := classifier.CodeUnavailable
 	switch status {
 	case http.StatusNotFound:
 		code = classifier.CodeObjectMissing
-	case http.StatusPreconditionFailed:
+	case http.StatusPreconditionFailed, http.StatusConflict:
 		code = classifier.CodeConflict
 	case http.StatusRequestEntityTooLarge:
 		code = classifier.CodeTooLarge
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -120,7 +120,7 @@
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit, Share: rankShare})
 	n.drainer = drainer.New(drainer.Options{
-		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.tracker.Leave,
+		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.leave,
 	})
 	options := forwarder.Options{
 		Clock: n.edges.Clock, Logger: n.part("forwarder"),
@@ -146,8 +146,12 @@
 )
 
 const (
-	// hostedGrace bounds the wait for work in flight at a planned stop.
-	hostedGrace = 3 * timekeeper.Second
+	// hostedGrace bounds the wait for work in flight at a planned stop. With the notice before it and the steps after
+	// it, the process ends within the 6 s that it is given.
+	hostedGrace = 2500 * timekeeper.Millis(1)
+	// hostedStop bounds each step after the work in flight has ended, in ms: the last bytes of answers, the goodbye to
+	// other nodes.
+	hostedStop = 200 * timekeeper.Millis(1)
 	// noticeChecks is the number of readiness checks after which callers send a stopping node no new work.
 	noticeChecks = 2
 	// noticeSpan bounds the wait for these checks, which come once a second.
@@ -187,6 +191,13 @@
 	})
 }
 
+// leave tells other nodes that this one ends.
+func (n *Hosted) leave(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, hostedStop.Duration())
+	defer cancel()
+	n.tracker.Leave(bounded)
+}
+
 // ready reports whether the node takes callers.
 func (n *Hosted) ready() bool {
 	if n.stopping.Load() {
@@ -232,6 +243,7 @@
 		if err != nil {
 			return err
 		}
+		opened.stop = hostedStop
 		group.Add(opened.serve, func(error) { opened.close(false) })
 	}
 	parts := []func(context.Context) error{
--- a/internal/runner/server.go
+++ b/internal/runner/server.go
@@ -22,6 +22,7 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	stop     timekeeper.Millis // bound on the wait for answers that are being written
 }
 
 // listen opens an address. The server answers requests only after serve is called.
@@ -33,6 +34,7 @@
 	}
 	return &server{
 		listener: listener,
+		stop:     stopTimeout,
 		http: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: readHeaderTimeout.Duration(),
@@ -56,7 +58,7 @@
 		_ = s.http.Close()
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), s.stop.Duration())
 	defer cancel()
 	if s.http.Shutdown(ctx) != nil {
 		_ = s.http.Close()
