Let the upstream of a stopping node work until callers have noticed

Requests also started with 73 ms left of 2 s, took a slot and ended unknown. Ruled out: faster notice; the checks come once a second. Change: other nodes are told when the notice is over, work in flight then has its 2.5 s; queued work with less than half its usual service time left is refused as not run. Test: TestHopelessWorkDoesNotStart.

--- a/internal/admitter/flow.go
+++ b/internal/admitter/flow.go
@@ -26,6 +26,14 @@
 	return max(f.service, 1)
 }
 
+// leastShare is the part of the average service time, as a divisor, that work needs at least to end in time.
+const leastShare = 2
+
+// least returns the time that a piece of work needs to have a chance to end, in ms.
+func (f *flow) least() timekeeper.Millis {
+	return timekeeper.Millis(f.service / leastShare)
+}
+
 func (f *flow) sample(span timekeeper.Millis) {
 	if f.service == 0 {
 		f.service = float64(span)
--- a/internal/admitter/late_test.go
+++ b/internal/admitter/late_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -60,3 +61,21 @@
 		}
 	}
 }
+
+// Guards against work that takes a slot although its time ends before it can: its outcome would be unknown.
+func TestHopelessWorkDoesNotStart(t *testing.T) {
+	m := NewMachine(1, 10)
+	first := &Ticket{Work: Work{Call: "call", Deadline: timekeeper.Minute}}
+	m.Step(0, Arrive{first})
+	m.Step(200, Finish{first}) // a service time of 200 ms
+	running := &Ticket{Work: Work{Call: "call", Deadline: timekeeper.Minute}}
+	m.Step(200, Arrive{running})
+	waiting := &Ticket{Work: Work{Call: "call", Deadline: 700}}
+	m.Step(200, Arrive{waiting})
+	var got []Action
+	got = append(got, m.Step(630, Finish{running})...)
+	want := []Action{Refuse{Ticket: waiting, Code: classifier.CodeDeadlinePassed}}
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b *Ticket) bool { return a == b })); diff != "" {
+		t.Errorf("actions differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -197,12 +197,13 @@
 	m.refuse(t, classifier.CodeDeadlinePassed, 0)
 }
 
-// dispatch gives free slots to waiting work. Work whose deadline passed in the queue is refused instead.
+// dispatch gives free slots to waiting work. Work that has too little time left to end is refused instead: it would
+// take a slot for nothing, and whether it ran would not be known.
 func (m *Machine) dispatch(now timekeeper.Millis) {
 	for m.running < m.slots && m.queued > 0 {
 		t := m.choose(now).pop()
 		m.queued--
-		if t.Deadline <= now {
+		if now+t.flow.least() >= t.Deadline {
 			m.refuse(t, classifier.CodeDeadlinePassed, 0)
 			continue
 		}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -55,7 +55,8 @@
 	drainer    *drainer.Drainer
 	entry      *forwarder.Entry
 	host       *forwarder.Host
-	stopping   atomic.Bool
+	stopping   atomic.Bool   // callers are asked to go elsewhere
+	leaving    atomic.Bool   // other nodes are asked to send no more work
 	turned     chan struct{} // one entry for each readiness check that was answered no during the stop
 }
 
@@ -181,7 +182,7 @@
 	n.tracker.SetSelf(func(m *tracker.Member) {
 		m.Slots, m.Started = state.Slots, state.Started
 		switch {
-		case n.stopping.Load():
+		case n.leaving.Load():
 			m.State = tracker.StateDraining
 		case state.Ready:
 			m.State = tracker.StateReady
@@ -280,8 +281,9 @@
 	}
 	n.logger.Info("node: draining")
 	n.stopping.Store(true)
+	n.awaitNotice(base) // the upstream goes on working for other nodes meanwhile
+	n.leaving.Store(true)
 	n.announce(n.registrar.Current())
-	n.awaitNotice(base)
 	return n.drainer.Drain(base)
 }
 
