--- a/internal/admitter/late_test.go
+++ b/internal/admitter/late_test.go
@@ -72,8 +72,7 @@
 	m.Step(200, Arrive{running})
 	waiting := &Ticket{Work: Work{Call: "call", Deadline: 700}}
 	m.Step(200, Arrive{waiting})
-	var got []Action
-	got = append(got, m.Step(630, Finish{running})...)
+	got := m.Step(630, Finish{running})
 	want := []Action{Refuse{Ticket: waiting, Code: classifier.CodeDeadlinePassed}}
 	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b *Ticket) bool { return a == b })); diff != "" {
 		t.Errorf("actions differ (-want +got):\n%s", diff)
