Let hosted nodes wait at a relay for changes of the configuration

Cause: every hosted node watched the platform, one call per node and 2 s and one per node and change.

Ruled out: pushes by relays, since a node does not notice a lost one; a longer watch on each node, which saves nothing while changes come.

Change: the preferred relay of a data centre watches; the others wait at it and get differences. Compression moved from compiler to compressor.

--- a/internal/compiler/delta.go
+++ b/internal/compiler/delta.go
@@ -3,12 +3,11 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"math/bits"
 
-	"github.com/klauspost/compress/zstd"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/compressor"
 	"github.com/jasmineproxy/jasmineproxy/internal/decoder"
 )
 
@@ -60,7 +59,7 @@
 		if old[entry.Account] == entry.Digest {
 			continue
 		}
-		body, err := compress(newBodies[entry.Digest], oldBodies[old[entry.Account]])
+		body, err := compressor.Compress(newBodies[entry.Digest], oldBodies[old[entry.Account]])
 		if err != nil {
 			return nil, classifier.Wrap(classifier.CodeViewFormat, entry.Account, err)
 		}
@@ -140,7 +139,7 @@
 		delete(accounts, name)
 	}
 	for _, item := range d.Changed {
-		body, err := decompress(item.Body, bodies[accounts[item.Account]])
+		body, err := compressor.Decompress(item.Body, bodies[accounts[item.Account]], 2*MaxSectionBytes)
 		if err != nil {
 			return nil, classifier.Wrap(classifier.CodeViewDigest, item.Account, err)
 		}
@@ -167,37 +166,3 @@
 	}
 	return digests
 }
-
-func compress(body, dictionary []byte) ([]byte, error) {
-	// A window just large enough for both texts saves clearing megabytes for a body of a few hundred bytes.
-	window := max(zstd.MinWindowSize, 1<<bits.Len(uint(len(body)+len(dictionary))))
-	options := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false), zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(window),
-	}
-	if len(dictionary) > 0 {
-		options = append(options, zstd.WithEncoderDictRaw(1, dictionary))
-	}
-	encoder, err := zstd.NewWriter(nil, options...)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = encoder.Close() }()
-	return encoder.EncodeAll(body, nil), nil
-}
-
-func decompress(body, dictionary []byte) ([]byte, error) {
-	options := []zstd.DOption{
-		zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(2 * MaxSectionBytes),
-		zstd.WithDecoderMaxWindow(8 << 20),
-	}
-	if len(dictionary) > 0 {
-		options = append(options, zstd.WithDecoderDictRaw(1, dictionary))
-	}
-	decoder, err := zstd.NewReader(nil, options...)
-	if err != nil {
-		return nil, err
-	}
-	defer decoder.Close()
-	return decoder.DecodeAll(body, nil)
-}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -87,8 +87,11 @@
 
 func (n *Hosted) addMembership() {
 	n.subscriber = subscriber.New(subscriber.Options{
-		Platform: n.protocol.Platform, Kind: n.protocol.Kind, Name: n.protocol.Name, Decode: n.protocol.Decode,
-		Caller: n.client, Clock: n.edges.Clock, Logger: n.part("subscriber"), Random: newRandom(),
+		Name: n.settings.Name, Platform: n.protocol.Platform, Kind: n.protocol.Kind, Object: n.protocol.Name,
+		Decode: n.protocol.Decode, Caller: n.client,
+		Relays:  func() []tracker.Member { return n.tracker.Relays(n.settings.Zone) },
+		Members: func() int { return len(n.tracker.Zone(n.settings.Zone)) },
+		Clock:   n.edges.Clock, Logger: n.part("subscriber"), Random: newRandom(),
 	})
 	n.tracker = tracker.NewTracker(tracker.Options{
 		Self: tracker.Member{
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -38,23 +40,42 @@
 	return s.watch(after, wait)
 }
 
-// peers answers Subscriber.Fetch from another subscriber.
-type peers struct{ other *Subscriber }
+// peers carries Subscriber.Watch to other subscribers by their peer addresses.
+type peers struct {
+	nodes map[string]*Subscriber
+	gone  sync.Map // addresses that do not answer
+}
 
-func (p *peers) Call(_ context.Context, _, _ string, arguments, reply any, _ timekeeper.Millis) error {
-	asked, _ := arguments.(*FetchArguments)
-	answer, _ := reply.(*FetchReply)
-	return (&Receiver{p.other}).Fetch(asked, answer)
+func (p *peers) Call(ctx context.Context, peer, _ string, arguments, reply any, timeout timekeeper.Millis) error {
+	asked, _ := arguments.(*WatchArguments)
+	answer, _ := reply.(*WatchReply)
+	other := p.nodes[peer]
+	if _, gone := p.gone.Load(peer); gone {
+		_ = connector.Sleep(ctx, timeout)
+		return errors.New("no answer")
+	}
+	var got WatchReply
+	done := make(chan error, 1)
+	go func() { done <- (&Receiver{other}).Watch(asked, &got) }()
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	select {
+	case err := <-done:
+		*answer = got
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func decode(value []byte) (*compiler.View, error) {
-	version, err := strconv.ParseUint(string(value), 10, 64)
+	version, err := strconv.ParseUint(strings.TrimSpace(string(value)), 10, 64)
 	return &compiler.View{Version: version}, err
 }
 
 func newSubscriber(platform connector.Platform, caller Caller) *Subscriber {
 	return New(Options{
-		Platform: platform, Kind: "config", Name: "main", Decode: decode, Caller: caller, Clock: timekeeper.System(),
+		Platform: platform, Kind: "config", Object: "main", Decode: decode, Caller: caller, Clock: timekeeper.System(),
 		Logger: zap.NewNop(), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
@@ -99,7 +120,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
-		_ = connector.Sleep(t.Context(), watchWait+2*backoffCap)
+		_ = connector.Sleep(t.Context(), watchWait+3*backoffBase+1)
 		if s.Version() != 3 {
 			t.Errorf("version %d after %d lists", s.Version(), lists)
 		}
@@ -116,12 +137,12 @@
 		down := &scripted{list: func() (connector.Snapshot, error) { return connector.Snapshot{}, errors.New("turned away") }}
 		ahead := newSubscriber(nil, nil)
 		ahead.apply([]byte("7"), "platform")
-		s := newSubscriber(down, &peers{ahead})
+		s := newSubscriber(down, &peers{nodes: map[string]*Subscriber{"peer:1": ahead}})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
 		s.Heard(tracker.Member{Peer: "peer:1"}, 7)
-		synctest.Wait()
+		_ = connector.Sleep(t.Context(), fetchTimeout)
 		if s.Version() != 7 || !s.Ready() {
 			t.Errorf("version %d", s.Version())
 		}
