--- a/internal/subscriber/relay_test.go
+++ b/internal/subscriber/relay_test.go
@@ -20,6 +20,9 @@
 // bound is the time in which a change has to be in force on every node.
 const bound = 2 * timekeeper.Second
 
+// callTimeout is what a client of the platform adds to the wait of a call.
+const callTimeout = 1500 * timekeeper.Millis(1)
+
 // store is a platform with one object. Calls of nodes that are cut off hang until their context ends.
 type store struct {
 	connector.Platform
@@ -63,7 +66,7 @@
 	silent, failing := c.silent[c.node], c.failing
 	c.mutex.Unlock()
 	if silent {
-		_ = connector.Sleep(ctx, 2*timekeeper.Second)
+		_ = connector.Sleep(ctx, callTimeout)
 		return 0, nil, errors.New("no answer")
 	}
 	if failing {
@@ -93,11 +96,13 @@
 		}
 	}
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.silent[c.node] {
-		return connector.Snapshot{}, errors.New("cut off")
+	silent, version := c.silent[c.node], c.version
+	c.mutex.Unlock()
+	if silent {
+		_ = connector.Sleep(ctx, wait+callTimeout)
+		return connector.Snapshot{}, errors.New("no answer")
 	}
-	return snapshotOf(c.version), nil
+	return snapshotOf(version), nil
 }
 
 func snapshotOf(version int) connector.Snapshot {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -49,18 +49,17 @@
 func (p *peers) Call(ctx context.Context, peer, _ string, arguments, reply any, timeout timekeeper.Millis) error {
 	asked, _ := arguments.(*WatchArguments)
 	answer, _ := reply.(*WatchReply)
-	other := p.nodes[peer]
-	if _, gone := p.gone.Load(peer); gone {
-		_ = connector.Sleep(ctx, timeout)
-		return errors.New("no answer")
-	}
-	var got WatchReply
-	done := make(chan error, 1)
-	go func() { done <- (&Receiver{other}).Watch(asked, &got) }()
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
+	var got WatchReply
+	done := make(chan error, 1)
+	go func() { done <- (&Receiver{p.nodes[peer]}).Watch(asked, &got) }()
 	select {
 	case err := <-done:
+		if _, gone := p.gone.Load(peer); gone {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		*answer = got
 		return err
 	case <-ctx.Done():
