Spread the returns of refused callers over the time that they have

Cause: callers come back twice at most. Refusals of stopping nodes, and of nodes without a configuration, had no hint.

Change: a new request with a short wait is told that wait; any other one a third of its remaining time, less up to a quarter of that.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -29,6 +29,8 @@
 	header   http.Header
 	body     *buffer
 	deadline timekeeper.Millis
+	patience timekeeper.Millis // point in time until which the caller waits; not before the deadline
+	age      timekeeper.Millis // since the caller made the request first, as far as is known
 	sent     timekeeper.Millis // when the present attempt began
 	certain  bool              // the id was claimed and given back: no attempt of it ran
 	started  bool              // an earlier attempt may have run
@@ -144,6 +146,7 @@
 	}
 	c.deadline = now + min(remaining, c.route.Call.Timeout)
 	longest := e.horizons.add(now, c.job.Call, remaining)
+	c.patience, c.age = now+remaining, longest-remaining
 	switch {
 	case longest <= c.route.Call.Timeout:
 		c.nested = true
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -139,6 +139,7 @@
 		copied.Outcome = classifier.OutcomeUnknown
 		failure = &copied
 	}
+	failure = c.advise(e.Clock.Now(), failure)
 	e.logEnd(c, failure)
 	e.fail(w, failure)
 }
@@ -158,6 +159,9 @@
 			failure = &copied
 		}
 	}
+	if now := e.Clock.Now(); failure.Code == classifier.CodeDraining || failure.Code == classifier.CodeNotReady {
+		failure = visitor(r, now).advise(now, failure)
+	}
 	e.logEnd(c, failure)
 	e.fail(w, failure)
 }
