Take the faster of two upstreams of one data centre

Cause: upstreams of one service differ in speed by three times and more, and one that turns slow is told from the others only by the work that gathers there.

Change: responses of host nodes carry the average service time of the call. The choice between two candidates weighs load by pace. The unused estimate of the wait leaves the load report.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -51,11 +51,7 @@
 
 // Load returns the current figures.
 func (m *Machine) Load() Load {
-	load := Load{Running: m.running, Queued: m.queued, Slots: m.slots}
-	if m.running >= m.slots {
-		load.Wait = timekeeper.Millis(float64(m.queued+1) * m.service / float64(max(m.slots, 1)))
-	}
-	return load
+	return Load{Running: m.running, Queued: m.queued, Slots: m.slots}
 }
 
 func (m *Machine) rank(t *Ticket) *rank {
--- a/internal/admitter/work.go
+++ b/internal/admitter/work.go
@@ -25,7 +25,6 @@
 	Running int
 	Queued  int
 	Slots   int
-	Wait    timekeeper.Millis // estimated wait of new work behind everything queued
 }
 
 // RetryError is the cause of a refusal for overload: the span after which the same work is likely to be admitted.
--- a/internal/forwarder/header_test.go
+++ b/internal/forwarder/header_test.go
@@ -36,8 +36,8 @@
 		if diff := cmp.Diff(&j, got); diff != "" {
 			t.Fatalf("job differs (-want +got):\n%s", diff)
 		}
-		load := admitter.Load{Running: number("running", 99), Queued: number("queued", 999), Slots: 6, Wait: 17}
-		if got, ok := decodeLoad(encodeLoad(load)); !ok || got != load {
+		load := admitter.Load{Running: number("running", 99), Queued: number("queued", 999), Slots: 6}
+		if got, span, ok := decodeLoad(encodeLoad(load, 120)); !ok || got != load || span != 120 {
 			t.Fatalf("load %+v became %+v", load, got)
 		}
 	})
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -19,6 +19,7 @@
 	attempts  *attempts
 	reported  deathCount
 	survivors isolator.Survivors
+	spans     spans
 	started   timekeeper.Millis
 
 	// Switches of mechanisms, set by tests only.
@@ -191,6 +192,7 @@
 
 // execute runs an admitted request on the upstream, records the end and answers.
 func (h *Host) execute(ctx context.Context, x *run, generation uint64) (State, *classifier.Error) {
+	begun := h.Clock.Now()
 	answer, failure := h.upstream(ctx, x)
 	if failure != nil && failure.Outcome == classifier.OutcomeUnknown {
 		h.examine(x, failure, generation)
@@ -199,15 +201,19 @@
 	if failure != nil {
 		return stateOf(failure), failure
 	}
+	span := timekeeper.Millis(0)
+	if answer.status < http.StatusInternalServerError {
+		span = h.spans.add(x.Call, h.Clock.Now()-begun)
+	}
 	h.logAnswer(x, answer)
 	h.survivors.Add(x.Fingerprint)
-	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load()))
+	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load(), span))
 	return StateDone, nil
 }
 
 func (h *Host) fail(w http.ResponseWriter, failure *classifier.Error) {
 	if h.Queue != nil {
-		w.Header()[headerLoad] = []string{encodeLoad(h.Queue.Load())}
+		w.Header()[headerLoad] = []string{encodeLoad(h.Queue.Load(), 0)}
 	}
 	writeFailure(w, failure, h.Clock.Now())
 }
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -33,6 +33,7 @@
 	reported    atomic.Int64  // running and queued at the last report
 	reportedAt  atomic.Int64  // ms
 	latency     atomic.Uint64 // float64 bits, ms
+	pace        atomic.Uint64 // float64 bits, service time as a multiple of the mean over all members; 0 if not known
 	failures    atomic.Uint64 // float64 bits, 0 to 1
 	failedAt    atomic.Int64  // ms
 	leaving     atomic.Int64  // ms until which no work is sent at all
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,7 +56,8 @@
 	Reported bool              // Running and Queued came with the response
 	Running  int
 	Queued   int
-	Failed   bool // the upstream or its node is at fault
+	Span     timekeeper.Millis // average service time of the call at the member; 0 if it is not known
+	Failed   bool              // the upstream or its node is at fault
 }
 
 // Picker chooses upstreams by power of two random choices. It is safe for concurrent use.
@@ -68,9 +70,10 @@
 	random    *rand.Rand
 	endpoints sync.Map // member name to *endpoint
 	groups    sync.Map // service name to *group
+	paces     paces
 
 	// Switches of mechanisms, set by tests only.
-	useAll, oneChoice, noWarmUp, noZones bool
+	useAll, oneChoice, noWarmUp, noZones, noPace bool
 }
 
 // NewPicker returns a picker without any figures.
@@ -138,6 +141,9 @@
 		one.reported.Store(others)
 		one.reportedAt.Store(int64(now))
 	}
+	if report.Span > 0 {
+		one.pace.Store(math.Float64bits(p.paces.compare(&report.Request, report.Span)))
+	}
 	switch report.Code {
 	case classifier.CodeOverload:
 		one.setBusy(busyKey(&report.Request), now+min(max(report.Retry, 1), maxBusy))
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -103,6 +103,10 @@
 // better reports whether a is to be preferred: by score, then by latency.
 func (s *search) better(a, b candidate) bool {
 	x, y := s.score(a), s.score(b)
+	if !s.picker.noPace {
+		x = (x + idleLoad) * a.endpoint.relativePace()
+		y = (y + idleLoad) * b.endpoint.relativePace()
+	}
 	if x != y {
 		return x < y
 	}
