--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// encodeLoad returns the value of a Jasmine-Load header. Span is the average service time of the call, in ms; 0 if it is
-// not known.
+// encodeLoad returns the value of a Jasmine-Load header. Span is the average service time of the call, in ms; 0 if it
+// is not known.
 func encodeLoad(load admitter.Load, span timekeeper.Millis) string {
 	text := make([]byte, 0, 32)
 	for i, number := range [...]int{load.Running, load.Queued, load.Slots, int(span)} {
