Tell by incarnation whether an attempt belonged to an earlier process

Cause: a host node compared the time at which an attempt was sent, by the clock of the entry node, with its own start. Clocks that differ by more than 4 s, as after two jumps, let an attempt that ran at the process before count as not run. Found by reading; no failing run.

Ruled out: a wider margin, which makes outcomes unknown that are known.

Change: the inquiry carries the incarnation that the entry node knew. A process answers for its own incarnations only, the one at its start and the raised one.

Figures: TestRestartIsToldByIncarnation fails with the comparison of times.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -31,12 +31,13 @@
 	deadline timekeeper.Millis
 	patience timekeeper.Millis // point in time until which the caller waits; not before the deadline
 	age      timekeeper.Millis // since the caller made the request first, as far as is known
-	sent     timekeeper.Millis // when the present attempt began
-	certain  bool              // the id was claimed and given back: no attempt of it ran
-	started  bool              // an earlier attempt may have run
-	nested   bool              // an upstream makes the call within a run
-	deaths   int               // attempts during which the upstream ended
-	reached  int               // attempts that an upstream may have received
+	// incarnation is that of the host node of the present attempt.
+	incarnation uint64
+	certain     bool // the id was claimed and given back: no attempt of it ran
+	started     bool // an earlier attempt may have run
+	nested      bool // an upstream makes the call within a run
+	deaths      int  // attempts during which the upstream ended
+	reached     int  // attempts that an upstream may have received
 	// Switches of mechanisms, set by tests only.
 	deliverShort, takeAny bool
 	inherited             bool // the request is part of a retry at an earlier node
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -229,13 +229,12 @@
 func (e *Entry) exchange(ctx context.Context, c *call, member *tracker.Member) *ending {
 	remaining := c.deadline - e.Clock.Now()
 	reserve := reserveOf(remaining)
-	c.job.Host = member.Name
+	c.job.Host, c.incarnation = member.Name, member.Incarnation
 	if remaining <= 2*reserve {
 		end := failed(classifier.Refuse(classifier.CodeDeadlinePassed, c.job.Call, "%d ms remain", remaining))
 		end.unsent = true
 		return end
 	}
-	c.sent = e.Clock.Now()
 	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
 	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
 	watch := e.watcher.begin(c, member.Peer, cancel)
--- a/internal/forwarder/failure_test.go
+++ b/internal/forwarder/failure_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
@@ -286,7 +288,9 @@
 		inBubble(t, fresh, noLink, []faker.UpstreamOptions{taking(200), taking(200)}, func(t *testing.T, m *mesh) {
 			time.AfterFunc(100*time.Millisecond, func() {
 				for i, host := range m.hosts {
-					restarted := NewHost(host.Options)
+					options := host.Options
+					options.Incarnation++
+					restarted := NewHost(options)
 					restarted.trustRestart = off
 					m.processes[i].Store(restarted)
 					m.links[i].Cut()
@@ -337,3 +341,23 @@
 	}
 	return headerForward + ": " + j.encode() + "\r\n" + headerTarget + ": /book\r\n"
 }
+
+// Guards against a second run after a restart of the host node where clocks differ: the process before may have run what
+// this one does not know, whatever the clocks say. Its own incarnations, also a raised one, are not those of another.
+func TestRestartIsToldByIncarnation(t *testing.T) {
+	for _, ahead := range []timekeeper.Millis{0, timekeeper.Minute} {
+		host := NewHost(Options{
+			Clock: timekeeper.Manual(timekeeper.Minute).Clock(), Name: "host", Incarnation: 7,
+			Raised: func() uint64 { return 9 },
+		})
+		got := make(map[uint64]State)
+		for _, incarnation := range []uint64{6, 7, 8, 9} {
+			q := Query{ID: "id", Attempt: int(incarnation), Incarnation: incarnation, Deadline: timekeeper.Minute + ahead}
+			got[incarnation] = host.find(timekeeper.Minute, &q, true).State
+		}
+		want := map[uint64]State{6: StateLost, 7: StateNotRun, 8: StateLost, 9: StateNotRun}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("clock ahead by %d ms: states differ (-want +got):\n%s", ahead, diff)
+		}
+	}
+}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -20,7 +20,6 @@
 	reported  deathCount
 	survivors isolator.Survivors
 	spans     spans
-	started   timekeeper.Millis
 
 	// Switches of mechanisms, set by tests only.
 	noFence, trustRestart bool
@@ -33,7 +32,6 @@
 	}
 	h := &Host{
 		Options: options, transport: newTransport(options.Dial, options.Connections), attempts: newAttempts(),
-		started: options.Clock.Now(),
 	}
 	h.exchanger = h.transport
 	if options.Wrap != nil {
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -66,8 +66,10 @@
 	Decisions *logger.Decisions
 	Name      string // member name of this node
 	Service   string // service of the upstream beside this node
-	// Incarnation is that of the node in the membership table.
+	// Incarnation is that of the process in the membership table at its start, and Raised returns the present one: a
+	// process whose clock is behind that of the one before it raises its own. Nil if it is not raised.
 	Incarnation uint64
+	Raised      func() uint64
 	Zone        string
 	Gate        Gate
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
--- a/internal/forwarder/receiver.go
+++ b/internal/forwarder/receiver.go
@@ -18,13 +18,14 @@
 	lookupTimeout timekeeper.Millis = 100
 )
 
-// Query names an attempt. Sent and Deadline are in ms since the Unix epoch by the clock of the entry node.
+// Query names an attempt. Incarnation is that of the host node's process when the attempt was made, as the entry node
+// knew it. Deadline is in ms since the Unix epoch by the clock of the entry node.
 type Query struct {
-	ID       string            `msgpack:"i"`
-	Token    uint64            `msgpack:"t"`
-	Attempt  int               `msgpack:"a"`
-	Sent     timekeeper.Millis `msgpack:"s"`
-	Deadline timekeeper.Millis `msgpack:"d"`
+	ID          string            `msgpack:"i"`
+	Token       uint64            `msgpack:"t"`
+	Attempt     int               `msgpack:"a"`
+	Incarnation uint64            `msgpack:"n"`
+	Deadline    timekeeper.Millis `msgpack:"d"`
 }
 
 // OutcomeArguments asks a host node what became of attempts. Fence refuses those that did not start from now on.
@@ -82,17 +83,22 @@
 	return nil
 }
 
-// find returns the state of one attempt. A process that started after the attempt was sent cannot tell whether one
-// before it ran the attempt. The difference of two clocks counts as part of that time.
+// find returns the state of one attempt. A process cannot tell whether one before it ran an attempt that was made for
+// that one.
 func (h *Host) find(now timekeeper.Millis, q *Query, fence bool) Finding {
 	state, code := h.attempts.look(now, attemptKey{q.ID, q.Token, q.Attempt}, q.Deadline, fence)
 	absent := state == StateAbsent || state == StateNotRun && code == classifier.CodeUpstreamUnreached
-	if absent && q.Sent <= h.started+2*maxSkew && !h.trustRestart {
+	if absent && !h.isProcess(q.Incarnation) && !h.trustRestart {
 		return Finding{State: StateLost, Code: classifier.CodeOutcomeUnknown}
 	}
 	return Finding{State: state, Code: code}
 }
 
+// isProcess reports whether an incarnation is one that this process has or had.
+func (h *Host) isProcess(incarnation uint64) bool {
+	return incarnation == h.Incarnation || h.Raised != nil && incarnation == h.Raised()
+}
+
 // kept returns the answer that this node kept for an id, or nil.
 func (h *Host) kept(id string) *deduplicator.Answer {
 	if h.Coordinator == nil {
--- a/internal/forwarder/resolve.go
+++ b/internal/forwarder/resolve.go
@@ -96,7 +96,9 @@
 }
 
 func (c *call) query() Query {
-	return Query{ID: c.job.ID, Token: c.job.Token, Attempt: c.job.Attempt, Sent: c.sent, Deadline: c.deadline}
+	return Query{
+		ID: c.job.ID, Token: c.job.Token, Attempt: c.job.Attempt, Incarnation: c.incarnation, Deadline: c.deadline,
+	}
 }
 
 func pause(ctx context.Context, span timekeeper.Millis) {
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -129,7 +129,8 @@
 	options := forwarder.Options{
 		Clock: n.edges.Clock, Logger: n.part("forwarder"),
 		Decisions: logger.NewDecisions(n.part("forwarder")), Name: n.settings.Name, Service: n.settings.Service,
-		Incarnation: incarnation, Zone: n.settings.Zone, Gate: n.drainer, Views: n.subscriber,
+		Incarnation: incarnation, Raised: func() uint64 { return n.tracker.Self().Incarnation },
+		Zone: n.settings.Zone, Gate: n.drainer, Views: n.subscriber,
 		Picker: router.NewPicker(router.Options{
 			Directory: n.tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
 		}),
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -165,7 +165,8 @@
 	})
 	options := forwarder.Options{
 		Clock: n.edges.Clock, Logger: n.part("forwarder"), Name: n.settings.Name, Incarnation: incarnation,
-		Zone: n.settings.Zone, Gate: n.drainer, Dial: n.edges.Dial, Views: n.Follower,
+		Raised: func() uint64 { return n.Tracker.Self().Incarnation },
+		Zone:   n.settings.Zone, Gate: n.drainer, Dial: n.edges.Dial, Views: n.Follower,
 		Picker: router.NewPicker(router.Options{
 			Directory: n.Tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
 		}),
