Read the platform's bounds and the memory of the process from the settings

Cause: spans of watches, the wait for work in flight, the retry budget and the memory limit were constants that suit the deployments of today. One with another bound would have been served by the wrong figures. The steps of a planned stop added up to 6.35 s of the 6 s that a process has: five addresses were closed one after the other, 200 ms each.

Ruled out: a field per bound in the template, since the platform lists bounds without keys.

Watches and questions to relays take parts of the first, the wait for work in flight takes what the notice and the last steps leave of the second, and nodes use half of the third. Only the addresses that carry answers are closed gracefully. The heap is bounded at four fifths of the process's memory.

--- a/internal/forwarder/failure_test.go
+++ b/internal/forwarder/failure_test.go
@@ -342,8 +342,8 @@
 	return headerForward + ": " + j.encode() + "\r\n" + headerTarget + ": /book\r\n"
 }
 
-// Guards against a second run after a restart of the host node where clocks differ: the process before may have run what
-// this one does not know, whatever the clocks say. Its own incarnations, also a raised one, are not those of another.
+// Guards against a second run after a restart of the host node where clocks differ: the process before may have run
+// what this one does not know, whatever the clocks say. Its own incarnations, also a raised one, are not another's.
 func TestRestartIsToldByIncarnation(t *testing.T) {
 	for _, ahead := range []timekeeper.Millis{0, timekeeper.Minute} {
 		host := NewHost(Options{
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -45,6 +45,8 @@
 	Ready     string  `yaml:"ready" validate:"omitempty,endpoint" usage:"address of the readiness check, IP:port"`
 	Control   string  `yaml:"control" validate:"omitempty,endpoint" usage:"address for the upstream's heartbeats, IP:port"`
 	Heartbeat float64 `yaml:"heartbeat" validate:"gt=0,max=3600" usage:"time between two heartbeats, in s"`
+	Bounds    string  `yaml:"bounds" validate:"max=4096" usage:"bounds that the platform states, as name=value,..."`
+	Memory    float64 `yaml:"memory" validate:"min=0,max=1048576" usage:"memory of the process, in MB; 0 if not known"`
 }
 
 // Enabled reports whether the node is a hosted one.
--- a/internal/retrier/budget.go
+++ b/internal/retrier/budget.go
@@ -6,17 +6,21 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// Parameters of a budget. A call earns one unit of credit and a retry costs tokenPrice. The price is above 10, and the
-// limit small, so that retries stay under a tenth of the calls in any span of seconds, also when calls of the seconds
-// before left credit: with a price of 10 and a limit of 100 retries, 13% were measured at 1.3 times capacity.
+// Parameters of a budget. A call earns one unit of credit and a retry costs the price.
 const (
-	tokenPrice  = 12
-	tokenLimit  = 10 * tokenPrice
+	// defaultRatio is the share of retries among the calls in any span of seconds.
+	defaultRatio = 0.1
+	// priceFactor is the price of a retry in units of the calls that pay for it at the ratio. It is above 1, since calls
+	// of the seconds before leave credit: at 1, 13% were measured for a ratio of 10% at 1.3 times capacity.
+	priceFactor = 1.2
+	// maxRetries is the number of retries for which credit is kept.
+	maxRetries  = 10
 	tokenPeriod = 10 * timekeeper.Second // credit earned before the last full period is void
 )
 
 // budget is the token bucket of one service.
 type budget struct {
+	price  int
 	mutex  sync.Mutex
 	credit int
 	earned int
@@ -29,7 +33,7 @@
 	defer b.mutex.Unlock()
 	b.roll(now)
 	b.earned++
-	b.credit = min(b.credit+1, tokenLimit)
+	b.credit = min(b.credit+1, maxRetries*b.price)
 }
 
 // spend takes the price of a retry, and reports whether the budget had it.
@@ -37,10 +41,10 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.roll(now)
-	if b.credit < tokenPrice {
+	if b.credit < b.price {
 		return false
 	}
-	b.credit -= tokenPrice
+	b.credit -= b.price
 	return true
 }
 
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"math"
 	"sync"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
@@ -9,18 +10,23 @@
 // Options sets up a Retrier.
 type Options struct {
 	Clock timekeeper.Clock
+	Ratio float64 // retries of a service as a share of its calls; 0 for a tenth
 }
 
 // Retrier keeps a retry budget for each service. Calls of different services share no lock.
 type Retrier struct {
 	clock   timekeeper.Clock
+	price   int      // of a retry, in calls
 	budgets sync.Map // service name to *budget
 	rules   rules
 }
 
 // New returns a retrier with empty budgets.
 func New(options Options) *Retrier {
-	return &Retrier{clock: options.Clock}
+	if options.Ratio <= 0 {
+		options.Ratio = defaultRatio
+	}
+	return &Retrier{clock: options.Clock, price: int(math.Ceil(priceFactor / options.Ratio))}
 }
 
 // First counts the first attempt of a call to a service.
@@ -48,7 +54,7 @@
 			return b
 		}
 	}
-	found, _ := r.budgets.LoadOrStore(service, &budget{})
+	found, _ := r.budgets.LoadOrStore(service, &budget{price: r.price})
 	b, _ := found.(*budget)
 	return b
 }
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -156,3 +156,25 @@
 		})
 	}
 }
+
+// Guards against a platform that allows few retries and gets as many as any other.
+func TestRatioBoundsRetries(t *testing.T) {
+	for _, ratio := range []float64{0.02, 0.1, 0.25} {
+		clock := timekeeper.Manual(tokenPeriod)
+		r := New(Options{Clock: clock.Clock(), Ratio: ratio})
+		const calls = 10_000
+		retries := 0
+		for range calls {
+			r.First("s")
+			decision := r.Decide(Attempt{
+				Service: "s", Number: 1, Outcome: classifier.OutcomeUnknown, Idempotent: true, Deadline: 10 * tokenPeriod,
+			})
+			if decision.Retry {
+				retries++
+			}
+		}
+		if share := float64(retries) / calls; share > ratio || share < ratio/2 {
+			t.Errorf("ratio %.2f: %.3f of the calls were retried", ratio, share)
+		}
+	}
+}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -90,6 +90,7 @@
 		Name: n.settings.Name, Platform: n.protocol.Platform, Kind: n.protocol.Kind, Object: n.protocol.Name,
 		Decode: n.protocol.Decode, Caller: n.client,
 		Relays:  func() []tracker.Member { return n.tracker.Relays(n.settings.Zone) },
+		Apply:   n.protocol.Bounds.Apply,
 		Members: func() int { return len(n.tracker.Zone(n.settings.Zone)) },
 		Clock:   n.edges.Clock, Logger: n.part("subscriber"), Random: newRandom(),
 	})
@@ -124,7 +125,7 @@
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.edges.Clock, Slots: 1, Limit: queueLimit, Share: rankShare})
 	n.drainer = drainer.New(drainer.Options{
-		Logger: n.part("drainer"), Grace: hostedGrace, Close: n.queue.Drain, Leave: n.leave,
+		Logger: n.part("drainer"), Grace: n.grace(), Close: n.queue.Drain, Leave: n.leave,
 	})
 	options := forwarder.Options{
 		Clock: n.edges.Clock, Logger: n.part("forwarder"),
@@ -134,7 +135,9 @@
 		Picker: router.NewPicker(router.Options{
 			Directory: n.tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
 		}),
-		Caller: n.client, Retrier: retrier.New(retrier.Options{Clock: n.edges.Clock}), MaxBody: n.settings.Body,
+		Caller: n.client, Retrier: retrier.New(retrier.Options{
+			Clock: n.edges.Clock, Ratio: n.protocol.Bounds.Retries * retryShare,
+		}), MaxBody: n.settings.Body,
 		Opaque: true, Isolator: n.isolator, Queue: n.queue, Prober: n.registrar,
 		Upstream: n.settings.Upstream.Address, Instance: n.registrar.Instance, Wrap: n.protocol.Upstream,
 	}
@@ -148,12 +151,19 @@
 	// rankShare is the percentage of started work that each waiting rank keeps while more urgent ones flood. The
 	// platform's configuration orders ranks and states no shares, and no kind of request may starve.
 	rankShare = 20
+	// retryShare is the part of the platform's bound on retries that nodes use. Each node keeps its own budget, and the
+	// calls of a span may leave credit for the next one, so that two spans of retries fall into one.
+	retryShare = 0.5
+	// memoryShare is the part of the process's memory, as a percentage, from which on garbage is collected more often.
+	memoryShare = 80
 )
 
 const (
-	// hostedGrace bounds the wait for work in flight at a planned stop. With the notice before it and the steps after
-	// it, the process ends within the 6 s that it is given.
-	hostedGrace = 2500 * timekeeper.Millis(1)
+	// leastGrace bounds the wait for work in flight at a planned stop from below, in ms.
+	leastGrace = 500 * timekeeper.Millis(1)
+	// stopReserve is the part of the time for a planned stop that is kept for the steps after the work in flight has
+	// ended, three times hostedStop, and for late timers, in ms.
+	stopReserve = 800 * timekeeper.Millis(1)
 	// hostedStop bounds each step after the work in flight has ended, in ms: the last bytes of answers, the goodbye to
 	// other nodes.
 	hostedStop = 200 * timekeeper.Millis(1)
@@ -196,6 +206,12 @@
 	})
 }
 
+// grace returns how long a planned stop waits for work in flight: what is left of the platform's time after the notice
+// to callers and without the last steps.
+func (n *Hosted) grace() timekeeper.Millis {
+	return max(n.protocol.Bounds.Grace-noticeSpan-noticeMargin-stopReserve, leastGrace)
+}
+
 // leave tells other nodes that this one ends.
 func (n *Hosted) leave(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, hostedStop.Duration())
@@ -217,7 +233,11 @@
 
 // RunHosted runs a hosted node until ctx ends, then drains it.
 func RunHosted(ctx context.Context, settings loader.Settings, edges Edges, protocol Protocol) error {
-	debug.SetMemoryLimit(settings.Memory.Process)
+	limit := settings.Memory.Process
+	if given := int64(settings.Hosted.Memory * 1e6 * memoryShare / 100); given > 0 {
+		limit = min(limit, given)
+	}
+	debug.SetMemoryLimit(limit)
 	debug.SetGCPercent(garbagePercent)
 	node, err := NewHosted(settings, edges, protocol)
 	if err != nil {
@@ -249,7 +269,9 @@
 			return err
 		}
 		opened.stop = hostedStop
-		group.Add(opened.serve, func(error) { opened.close(false) })
+		// Handlers have ended by then; answers of these two may still be on their way out.
+		carries := one.address == n.settings.Caller || one.address == n.settings.Peer
+		group.Add(opened.serve, func(error) { opened.close(!carries) })
 	}
 	parts := []func(context.Context) error{
 		n.tracker.Run, n.subscriber.Run, n.seeder.run, n.refresh, n.reload,
--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -10,12 +10,6 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. A watch may miss changes, when its connection goes silent or
-	// when the platform drops its history, and each change has to be in force within 2 s.
-	watchWait = timekeeper.Second
-	// contactSlack is how much later than at the end of its wait a reply of the platform may come before this node
-	// counts as cut off, in ms.
-	contactSlack timekeeper.Millis = 300
 	// backoffBase and backoffCap bound the wait after a failed call: each one is paid for, and after an outage a
 	// node has to catch up within 3 s.
 	backoffBase = 200 * timekeeper.Millis(1)
@@ -63,7 +57,7 @@
 
 // followingUntil returns the time at which this node counts as cut off unless the platform replies.
 func (s *Subscriber) followingUntil() timekeeper.Millis {
-	return timekeeper.Millis(s.contact.Load()) + watchWait + contactSlack
+	return timekeeper.Millis(s.contact.Load()) + s.pace.watch + s.pace.contact
 }
 
 // list reads the object as it is now.
@@ -78,7 +72,7 @@
 
 // watch waits for changes after a revision.
 func (s *Subscriber) watch(ctx context.Context, after uint64) (revision uint64, err error) {
-	snapshot, err := s.options.Platform.Watch(ctx, s.options.Kind, after, watchWait)
+	snapshot, err := s.options.Platform.Watch(ctx, s.options.Kind, after, s.pace.watch)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/subscriber/receiver.go
+++ b/internal/subscriber/receiver.go
@@ -60,7 +60,7 @@
 	if err := messenger.CheckFormat("watch", arguments.Format, Format); err != nil {
 		return err
 	}
-	if arguments.Wait < 0 || arguments.Wait > relayWait {
+	if arguments.Wait < 0 || arguments.Wait > longestApply {
 		return messenger.Invalid("watch", "wait", arguments.Wait)
 	}
 	s := c.subscriber
--- a/internal/subscriber/relay.go
+++ b/internal/subscriber/relay.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// relayWait is how long one question waits at a relay for a change, and relaySlack how much later the reply may
-	// come. A relay that is cut off has to be found in time to read a change from the platform within 2 s.
-	relayWait  timekeeper.Millis = 700
-	relaySlack timekeeper.Millis = 400
 	// avoidSpan is how long a relay that failed is not asked. The membership table lists it as failed after 5 s.
 	avoidSpan = 5 * timekeeper.Second
 	// servedSpan is how long a node watches the platform after the last question of another node.
@@ -72,7 +68,7 @@
 	if s.serving(s.options.Clock.Now()) {
 		return
 	}
-	reply, err := s.ask(bounded, relay.Peer, relayWait, relayWait+relaySlack)
+	reply, err := s.ask(bounded, relay.Peer, s.pace.relay, s.pace.relay+s.pace.slack)
 	if bounded.Err() != nil {
 		return // this node is to watch the platform itself
 	}
--- a/internal/subscriber/relay_test.go
+++ b/internal/subscriber/relay_test.go
@@ -17,9 +17,6 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
-// bound is the time in which a change has to be in force on every node.
-const bound = 2 * timekeeper.Second
-
 // callTimeout is what a client of the platform adds to the wait of a call.
 const callTimeout = 1500 * timekeeper.Millis(1)
 
@@ -120,7 +117,7 @@
 	work  sync.WaitGroup
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, apply timekeeper.Millis) *fleet {
 	f := &fleet{store: newStore(), nodes: make(map[string]*Subscriber)}
 	f.peers = &peers{nodes: f.nodes}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -128,7 +125,7 @@
 	names := []string{"a", "b", "c", "d", "e"}
 	for _, name := range names {
 		one := newSubscriber(&storeClient{f.store, name}, f.peers)
-		one.options.Name = name
+		one.options.Name, one.pace = name, newPace(apply)
 		one.options.Relays = func() []tracker.Member {
 			return []tracker.Member{{Name: "a", Peer: "a"}, {Name: "b", Peer: "b"}}
 		}
@@ -168,13 +165,13 @@
 func (f *fleet) stop() {
 	f.end()
 	f.work.Wait()
-	_ = connector.Sleep(context.Background(), relayWait) // questions that nobody waits for any more
+	_ = connector.Sleep(context.Background(), longestApply) // questions that nobody waits for any more
 }
 
 // Guards against calls to the platform that grow with the nodes, in quiet times and with each change.
 func TestOneNodeWatchesThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f := newFleet(t, 0)
 		_ = connector.Sleep(t.Context(), 10*timekeeper.Second)
 		f.expect(t, 1)
 		f.store.with(func() { clear(f.store.calls) })
@@ -196,28 +193,35 @@
 // Guards against nodes that miss a change because the one they wait at is cut off from the platform, or gone, without a
 // word. The change comes at every point of the relay's turns.
 func TestChangeWhileTheRelayIsSilent(t *testing.T) {
-	for offset := timekeeper.Millis(0); offset < watchWait; offset += 130 {
-		for _, gone := range []bool{false, true} {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t)
-				_ = connector.Sleep(t.Context(), 10*timekeeper.Second+offset)
-				f.store.with(func() { f.store.silent["a"] = true })
-				if gone {
-					f.peers.gone.Store("a", true)
-				}
-				f.store.set(2)
-				_ = connector.Sleep(t.Context(), bound)
-				f.expect(t, 2, "a")
-				f.stop()
-			})
+	for _, apply := range []timekeeper.Millis{1000, 2000, 5000} {
+		for offset := timekeeper.Millis(0); offset < newPace(apply).watch; offset += 130 {
+			for _, gone := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) { changeWhileSilent(t, apply, offset, gone) })
+			}
 		}
 	}
 }
 
+// changeWhileSilent silences the preferred relay at an offset, towards the platform only or for all, and expects a
+// change on all others in time.
+func changeWhileSilent(t *testing.T, apply, offset timekeeper.Millis, gone bool) {
+	t.Helper()
+	f := newFleet(t, apply)
+	_ = connector.Sleep(t.Context(), 10*timekeeper.Second+offset)
+	f.store.with(func() { f.store.silent["a"] = true })
+	if gone {
+		f.peers.gone.Store("a", true)
+	}
+	f.store.set(2)
+	_ = connector.Sleep(t.Context(), apply)
+	f.expect(t, 2, "a")
+	f.stop()
+}
+
 // Guards against nodes that stay behind after an outage of the platform, and against a flood of calls during it.
 func TestOutageOfThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
+		f := newFleet(t, 0)
 		_ = connector.Sleep(t.Context(), 10*timekeeper.Second)
 		f.store.with(func() {
 			f.store.failing = true
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -33,15 +33,18 @@
 	// Members the number of members. With nil the node always watches the platform itself.
 	Relays  func() []tracker.Member
 	Members func() int
-	Clock   timekeeper.Clock
-	Logger  *zap.Logger
-	Random  *rand.Rand
+	// Apply is the time in which a change has to be in force on every node, in ms; 0 for 2 s.
+	Apply  timekeeper.Millis
+	Clock  timekeeper.Clock
+	Logger *zap.Logger
+	Random *rand.Rand
 }
 
 // Subscriber follows one object of the platform. A version that is not above the one in force is ignored, so that a
 // node never goes back, whatever order changes arrive in.
 type Subscriber struct {
 	options Options
+	pace    pace
 	hints   chan hint
 	backoff *connector.Backoff
 	current atomic.Pointer[held]
@@ -60,7 +63,7 @@
 // New returns a subscriber without a configuration.
 func New(options Options) *Subscriber {
 	return &Subscriber{
-		options: options, hints: make(chan hint, 1), changed: make(chan struct{}),
+		options: options, pace: newPace(options.Apply), hints: make(chan hint, 1), changed: make(chan struct{}),
 		backoff: connector.NewBackoff(backoffBase, backoffCap, options.Random),
 		avoided: make(map[string]timekeeper.Millis),
 	}
