Pass the platform's bounds through the template, by name

Ruled out: decoding JSON in the adapter, since the template can name each bound.

Change: settings hosted.apply, hosted.grace, hosted.retries and hosted.memory, filled by name, with the values of today where the platform states none. The decoder in the adapter is gone.

--- a/internal/commander/run.go
+++ b/internal/commander/run.go
@@ -36,9 +36,5 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	edges := runner.Edges{Clock: timekeeper.System(), Log: os.Stdout, Hangups: hangups, Reload: reload}
-	protocol, err := platform.Protocol(settings)
-	if err != nil {
-		return err
-	}
-	return runner.RunHosted(ctx, settings, edges, protocol)
+	return runner.RunHosted(ctx, settings, edges, platform.Protocol(settings))
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -11,6 +11,7 @@
 	Slots    int      `yaml:"slots" validate:"min=0,max=10000" usage:"slots of the upstream; 0 takes the service's"`
 	Caller   string   `yaml:"caller" validate:"required,endpoint" usage:"address for callers, IP:port"`
 	Peer     string   `yaml:"peer" validate:"required,endpoint" usage:"address for other nodes, IP:port"`
+	Announce string   `yaml:"announce" validate:"omitempty,endpoint" usage:"peer address that other nodes use"`
 	Admin    string   `yaml:"admin" validate:"required,endpoint" usage:"address for administration, IP:port"`
 	Upstream Upstream `yaml:"upstream"`
 	Platform Platform `yaml:"platform"`
@@ -25,6 +26,14 @@
 	Log   string            `yaml:"log" validate:"oneof=debug info warn error" usage:"lowest level that is logged"`
 }
 
+// Announced returns the address at which other nodes reach this one.
+func (s *Settings) Announced() string {
+	if s.Announce != "" {
+		return s.Announce
+	}
+	return s.Peer
+}
+
 // Upstream is the server process that runs the requests.
 type Upstream struct {
 	Address string `yaml:"address" validate:"required,endpoint" usage:"address of the upstream, IP:port"`
@@ -45,7 +54,9 @@
 	Ready     string  `yaml:"ready" validate:"omitempty,endpoint" usage:"address of the readiness check, IP:port"`
 	Control   string  `yaml:"control" validate:"omitempty,endpoint" usage:"address for the upstream's heartbeats, IP:port"`
 	Heartbeat float64 `yaml:"heartbeat" validate:"gt=0,max=3600" usage:"time between two heartbeats, in s"`
-	Bounds    string  `yaml:"bounds" validate:"max=4096" usage:"bounds that the platform states, as name=value,..."`
+	Apply     float64 `yaml:"apply" validate:"gt=0,max=3600" usage:"time for a change to be in force everywhere, in s"`
+	Grace     float64 `yaml:"grace" validate:"gt=0,max=3600" usage:"time for a planned stop, in s"`
+	Retries   float64 `yaml:"retries" validate:"gt=0,max=10" usage:"bound on repeated requests, as a share of all"`
 	Memory    float64 `yaml:"memory" validate:"min=0,max=1048576" usage:"memory of the process, in MB; 0 if not known"`
 }
 
@@ -70,7 +81,7 @@
 			Records: 64 << 20,
 			Process: 256 << 20, // the control overhead target of a node
 		},
-		Hosted: Hosted{Heartbeat: 1.5},
+		Hosted: Hosted{Heartbeat: 1.5, Apply: 2, Grace: 6, Retries: 0.2}, // the deployments of today
 		Body:   1 << 20,
 		Delay:  4, // data centres are about 4 ms apart
 		Log:    "info",
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -90,14 +90,14 @@
 		Name: n.settings.Name, Platform: n.protocol.Platform, Kind: n.protocol.Kind, Object: n.protocol.Name,
 		Decode: n.protocol.Decode, Caller: n.client,
 		Relays:  func() []tracker.Member { return n.tracker.Relays(n.settings.Zone) },
-		Apply:   n.protocol.Bounds.Apply,
+		Apply:   seconds(n.settings.Hosted.Apply),
 		Members: func() int { return len(n.tracker.Zone(n.settings.Zone)) },
 		Clock:   n.edges.Clock, Logger: n.part("subscriber"), Random: newRandom(),
 	})
 	n.tracker = tracker.NewTracker(tracker.Options{
 		Self: tracker.Member{
 			Name: n.settings.Name, Zone: n.settings.Zone, Service: n.settings.Service,
-			Peer: n.settings.Peer, Caller: n.settings.Caller,
+			Peer: n.settings.Announced(), Caller: n.settings.Caller,
 		},
 		Caller: n.client, Clock: n.edges.Clock, Logger: n.part("tracker"), Seed: rand.Uint64(),
 		Versions: func() (known, active uint64) {
@@ -107,12 +107,12 @@
 		Heard: n.subscriber.Heard,
 	})
 	n.seeder = &seeder{
-		platform: n.protocol.Platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Peer,
+		platform: n.protocol.Platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Announced(),
 		logger: n.part("seeder"),
 	}
 	n.registrar = registrar.New(registrar.Options{
 		Service: n.settings.Service, Address: n.settings.Upstream.Address,
-		Span:  timekeeper.Millis(n.settings.Hosted.Heartbeat * float64(timekeeper.Second)),
+		Span:  seconds(n.settings.Hosted.Heartbeat),
 		Clock: n.edges.Clock, Logger: n.part("registrar"), Changed: n.announce,
 	})
 }
@@ -136,7 +136,7 @@
 			Directory: n.tracker, Clock: n.edges.Clock, Zone: n.settings.Zone, Delay: n.settings.Delay,
 		}),
 		Caller: n.client, Retrier: retrier.New(retrier.Options{
-			Clock: n.edges.Clock, Ratio: n.protocol.Bounds.Retries * retryShare,
+			Clock: n.edges.Clock, Ratio: n.settings.Hosted.Retries * retryShare,
 		}), MaxBody: n.settings.Body,
 		Opaque: true, Isolator: n.isolator, Queue: n.queue, Prober: n.registrar,
 		Upstream: n.settings.Upstream.Address, Instance: n.registrar.Instance, Wrap: n.protocol.Upstream,
@@ -206,10 +206,14 @@
 	})
 }
 
+func seconds(span float64) timekeeper.Millis {
+	return timekeeper.Millis(span * float64(timekeeper.Second))
+}
+
 // grace returns how long a planned stop waits for work in flight: what is left of the platform's time after the notice
 // to callers and without the last steps.
 func (n *Hosted) grace() timekeeper.Millis {
-	return max(n.protocol.Bounds.Grace-noticeSpan-noticeMargin-stopReserve, leastGrace)
+	return max(seconds(n.settings.Hosted.Grace)-noticeSpan-noticeMargin-stopReserve, leastGrace)
 }
 
 // leave tells other nodes that this one ends.
--- a/internal/runner/hosted_test.go
+++ b/internal/runner/hosted_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -13,7 +14,7 @@
 func TestPlannedStopFitsItsTime(t *testing.T) {
 	got := make(map[timekeeper.Millis]timekeeper.Millis)
 	for _, given := range []timekeeper.Millis{2000, 6000, 20000} {
-		n := &Hosted{protocol: Protocol{Bounds: Bounds{Grace: given}}}
+		n := &Hosted{settings: loader.Settings{Hosted: loader.Hosted{Grace: float64(given) / 1000}}}
 		got[given] = n.grace()
 		if total := noticeSpan + noticeMargin + n.grace() + 3*hostedStop; given >= 6000 && total >= given {
 			t.Errorf("%d ms of %d", total, given)
--- a/internal/runner/protocol.go
+++ b/internal/runner/protocol.go
@@ -10,7 +10,6 @@
 
 // Protocol is what a hosted node speaks with the platform that it runs on.
 type Protocol struct {
-	Bounds   Bounds
 	Platform connector.Platform
 	// Kind and Name are those of the object in which the operator stores the configuration, and Decode reads it.
 	Kind, Name string
