A new process asks the upstream before it believes the first heartbeat

The node that acknowledged the goodbye was restarted, and an old heartbeat, seconds late, told the next process of a server that takes work.

Ruled out: gossip of leaving servers (all nodes may be killed at once); marks on the platform (it may be down at the goodbye or at the start); two heartbeats as a proof, which costs 1.5 s of an upstream at each restart.

Change: the registrar takes the first upstream that a process hears of when the upstream's own health check says that it takes work and has that id, or after three heartbeats, since health checks may be wrong. TestFirstHeartbeatNeedsProof fails without it.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -29,6 +29,8 @@
 	Clock   timekeeper.Clock
 	Logger  *zap.Logger
 	Changed func(State) // told of each change of the state; must not block
+	// Health asks the upstream itself; nil takes the first heartbeat as it is.
+	Health func(ctx context.Context) (Health, error)
 }
 
 // Registrar follows one upstream by its heartbeats and by the connections to it. It is safe for concurrent use.
@@ -37,8 +39,9 @@
 	mutex    sync.Mutex
 	state    State
 	known    bool
-	gone     bool              // the present process said that it ends, or was seen to have ended
-	draining bool              // the present process said that it is leaving
+	gone     bool // the present process said that it ends, or was seen to have ended
+	draining bool // the present process said that it is leaving
+	proof    proof
 	heard    timekeeper.Millis // time of the last heartbeat that was taken
 	current  atomic.Pointer[State]
 	restarts atomic.Uint64
@@ -69,6 +72,7 @@
 	if fresh {
 		if r.known {
 			r.restarts.Add(1)
+			r.proof.sound = true // the upstream started while this process was there
 		}
 		r.gone, r.draining = false, false
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Born),
@@ -80,6 +84,7 @@
 		r.draining = true
 		r.options.Logger.Info("upstream is leaving", zap.String("instance", b.ID), zap.Uint64("sequence", b.Sequence))
 	}
+	r.hear()
 	r.state.Beat = b
 	r.state.Started = now + b.Cold
 	r.publish()
@@ -106,7 +111,7 @@
 
 // publish makes the state visible. The caller holds the lock.
 func (r *Registrar) publish() {
-	r.state.Ready = r.known && !r.gone && !r.draining
+	r.state.Ready = r.known && !r.gone && !r.draining && r.proof.sound
 	if *r.current.Load() == r.state {
 		return
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -1,6 +1,8 @@
 package registrar
 
 import (
+	"context"
+	"errors"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -143,3 +145,57 @@
 		t.Errorf("one end counted as %d", r.Restarts())
 	}
 }
+
+// Guards against an upstream that said goodbye to the process before and is taken back because an old heartbeat comes
+// late, and against one that gets no work because its health check is wrong or does not answer.
+func TestFirstHeartbeatNeedsProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		health   Health
+		failure  error
+		beats    int
+		want     bool
+		question int
+	}{
+		"well":              {Health{ID: "i-1", Ready: true}, nil, 1, true, 1},
+		"leaving":           {Health{ID: "i-1"}, nil, 1, false, 1},
+		"another upstream":  {Health{ID: "i-2", Ready: true}, nil, 2, false, 2},
+		"no answer":         {Health{}, errors.New("busy"), 1, false, healthTries},
+		"wrong for a while": {Health{ID: "i-1"}, nil, provingBeats, true, provingBeats - 1},
+	} {
+		r, clock := newRegistrar()
+		asked := 0
+		r.options.Health = func(context.Context) (Health, error) {
+			asked++
+			return c.health, c.failure
+		}
+		for sequence := range c.beats {
+			if err := r.Beat(beat(1, uint64(sequence)+7)); err != nil {
+				t.Fatal(err)
+			}
+			if c.beats == 1 && r.Alive() {
+				t.Errorf("%s: ready without a proof", name)
+			}
+			for range 2 * healthTries {
+				r.Prove(t.Context())
+				clock.Advance(healthPause)
+			}
+		}
+		if r.Alive() != c.want || asked != c.question {
+			t.Errorf("%s: ready %v after %d questions", name, r.Alive(), asked)
+		}
+	}
+}
+
+// Guards against a wait after a restart of the upstream beside a process that saw it.
+func TestRestartedUpstreamNeedsNoProof(t *testing.T) {
+	r, _ := newRegistrar()
+	r.options.Health = func(context.Context) (Health, error) { return Health{}, errors.New("busy") }
+	for _, b := range []Beat{beat(1, 1), beat(2, 1)} {
+		if err := r.Beat(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !r.Alive() {
+		t.Error("not ready")
+	}
+}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -113,7 +113,7 @@
 	n.registrar = registrar.New(registrar.Options{
 		Service: n.settings.Service, Address: n.settings.Upstream.Address,
 		Span:  seconds(n.settings.Hosted.Heartbeat),
-		Clock: n.edges.Clock, Logger: n.part("registrar"), Changed: n.announce,
+		Clock: n.edges.Clock, Logger: n.part("registrar"), Changed: n.announce, Health: n.health,
 	})
 }
 
@@ -219,6 +219,22 @@
 	return max(seconds(n.settings.Hosted.Grace)-noticeSpan-noticeMargin-stopReserve, leastGrace)
 }
 
+// health asks the upstream beside this node. It fails while the configuration does not say how.
+func (n *Hosted) health(ctx context.Context) (registrar.Health, error) {
+	view := n.subscriber.Active()
+	if view == nil {
+		return registrar.Health{}, errNoProbe
+	}
+	service := view.Service(n.settings.Service)
+	if service == nil || service.Probe == "" {
+		return registrar.Health{}, errNoProbe
+	}
+	return n.protocol.Health(ctx, n.settings.Upstream.Address, service.Probe)
+}
+
+// errNoProbe says that no configuration names the path of the upstream's health check.
+var errNoProbe = errors.New("the health check of the upstream is not known")
+
 // leave tells other nodes that this one ends.
 func (n *Hosted) leave(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, hostedStop.Duration())
@@ -366,6 +382,7 @@
 func (n *Hosted) refresh(ctx context.Context) error {
 	for connector.Sleep(ctx, refreshPeriod) == nil {
 		n.registrar.Refresh()
+		n.registrar.Prove(ctx)
 	}
 	return nil
 }
--- a/internal/runner/protocol.go
+++ b/internal/runner/protocol.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
@@ -17,5 +18,7 @@
 	Entry      func(http.Handler) http.Handler           // adds the protocol of callers
 	Upstream   func(http.RoundTripper) http.RoundTripper // adds the protocol of upstreams
 	Control    func(*registrar.Registrar) http.Handler   // takes the heartbeats of the upstream
-	Ready      func(ready func() bool) http.Handler      // answers whether the node takes callers
+	// Health asks the upstream at an address for the health check at a path.
+	Health func(ctx context.Context, address, path string) (registrar.Health, error)
+	Ready  func(ready func() bool) http.Handler // answers whether the node takes callers
 }
