Heartbeats change no entry of the membership; a warm-up of 2 s

Cause: the end of an upstream's slow start was computed anew at each heartbeat, so that each one changed the entry of its node, which was sent to all data centres, and the upstream looked as if it had just started for good: its weight stayed at 0.1 to 0.24, its load looked four to ten times as high, and requests went to other data centres too early.

Change: the start is kept unless a heartbeat tells another one by 0.5 s or more. With true starts, the warm-up of 10 s from a tenth kept new upstreams idle; it is 2 s from a fifth now, after the slow start that the upstream itself announces.

TestHeartbeatsChangeNothing fails without it.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -86,11 +86,24 @@
 	}
 	r.hear()
 	r.state.Beat = b
-	r.state.Started = now + b.Cold
+	r.state.Started = r.startOf(now, &b, fresh)
 	r.publish()
 	return nil
 }
 
+// startSlack is the difference between two statements of the same start that says nothing, in ms: heartbeats take time.
+const startSlack timekeeper.Millis = 500
+
+// startOf returns when the slow start of an upstream is over. It keeps what was told before unless the heartbeat says
+// otherwise: each change is told to all nodes. The caller holds the lock.
+func (r *Registrar) startOf(now timekeeper.Millis, b *Beat, fresh bool) timekeeper.Millis {
+	told, known := now+b.Cold, r.state.Started
+	if !fresh && (b.Cold == 0 && known <= told || max(told-known, known-told) <= startSlack) {
+		return known
+	}
+	return told
+}
+
 // Leave takes the last message of an upstream. One about another process changes nothing.
 func (r *Registrar) Leave(l Leave) {
 	r.mutex.Lock()
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -199,3 +199,26 @@
 		t.Error("not ready")
 	}
 }
+
+// Guards against an entry that each heartbeat changes, and that is sent to all nodes each time.
+func TestHeartbeatsChangeNothing(t *testing.T) {
+	r, clock := newRegistrar()
+	starts := make(map[timekeeper.Millis]bool)
+	for i, cold := range []timekeeper.Millis{3000, 1500, 0, 0, 0} {
+		b := beat(1, uint64(i)+1)
+		b.Cold = cold
+		if err := r.Beat(b); err != nil {
+			t.Fatal(err)
+		}
+		starts[r.Current().Started] = true
+		clock.Advance(1500 + timekeeper.Millis(i))
+	}
+	if len(starts) != 1 {
+		t.Errorf("starts %v", starts)
+	}
+	b := beat(2, 1)
+	b.Cold = 3000
+	if err := r.Beat(b); err != nil || starts[r.Current().Started] {
+		t.Errorf("the next process has the start of the one before; error %v", err)
+	}
+}
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// warmUp is the span after a start in which the weight of an upstream grows from warmUpFloor to 1.
-	warmUp      = 10 * timekeeper.Second
-	warmUpFloor = 0.1
+	// warmUp is the span after the slow start of an upstream in which its weight grows from warmUpFloor to 1. Before,
+	// it has the floor.
+	warmUp      = 2 * timekeeper.Second
+	warmUpFloor = 0.2
 )
 
 // Directory lists the members of a service as an immutable snapshot; tracker.Directory satisfies it.
