--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"runtime/debug"
 
@@ -56,30 +55,21 @@
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group run.Group
-	peer := http.NewServeMux()
-	peer.Handle("/forward", n.host)
-	peer.Handle("/", n.rpc)
-	addresses := []struct {
-		address string
-		handler http.Handler
-	}{{n.settings.Peer, peer}, {n.settings.Admin, n.admin}, {n.settings.Caller, newCallMetrics(n.meter, n.entry)}}
-	for _, one := range addresses {
-		opened, err := listen(base, one.address, one.handler)
-		if err != nil {
-			return err
-		}
-		group.Add(opened.serve, func(error) { opened.close(n.killed.Load()) })
+	err := open(base, &group,
+		endpoint{n.settings.Peer, peerHandler(n.host, n.rpc), stopTimeout, n.killed.Load},
+		endpoint{n.settings.Admin, n.admin, stopTimeout, n.killed.Load},
+		endpoint{n.settings.Caller, newCallMetrics(n.meter, n.entry), stopTimeout, n.killed.Load},
+	)
+	if err != nil {
+		return err
 	}
-	parts := []func(context.Context) error{
-		n.Tracker.Run, n.relayer.Run, n.seeder.run, n.auditor.Run, n.prober.Run, n.refresh, n.runIsolator, n.runKeeper,
+	add(base, cancel, &group, n.Tracker.Run, n.relayer.Run, n.seeder.run, n.auditor.Run, n.prober.Run, n.refresh,
+		n.runIsolator, n.runKeeper,
 		func(ctx context.Context) error { return n.Publisher.Run(ctx, n.Tracker.IsRelay) },
-	}
-	for _, part := range parts {
-		group.Add(func() error { return part(base) }, func(error) { cancel() })
-	}
-	group.Add(func() error { return n.awaitStop(ctx, base) }, func(error) { cancel() })
+		func(base context.Context) error { return n.awaitStop(ctx, base) },
+	)
 	n.logger.Info("node: started")
-	err := group.Run()
+	err = group.Run()
 	n.client.Close()
 	n.rpc.Close()
 	n.entry.Close()
--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -57,7 +57,7 @@
 
 // followingUntil returns the time at which this node counts as cut off unless the platform replies.
 func (s *Subscriber) followingUntil() timekeeper.Millis {
-	return timekeeper.Millis(s.contact.Load()) + s.pace.watch + s.pace.contact
+	return timekeeper.Millis(s.contact.Load()) + s.timing.watch + s.timing.contact
 }
 
 // list reads the object as it is now.
@@ -72,7 +72,7 @@
 
 // watch waits for changes after a revision.
 func (s *Subscriber) watch(ctx context.Context, after uint64) (revision uint64, err error) {
-	snapshot, err := s.options.Platform.Watch(ctx, s.options.Kind, after, s.pace.watch)
+	snapshot, err := s.options.Platform.Watch(ctx, s.options.Kind, after, s.timing.watch)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/subscriber/relay.go
+++ b/internal/subscriber/relay.go
@@ -68,7 +68,7 @@
 	if s.serving(s.options.Clock.Now()) {
 		return
 	}
-	reply, err := s.ask(bounded, relay.Peer, s.pace.relay, s.pace.relay+s.pace.slack)
+	reply, err := s.ask(bounded, relay.Peer, s.timing.relay, s.timing.relay+s.timing.slack)
 	if bounded.Err() != nil {
 		return // this node is to watch the platform itself
 	}
--- a/internal/subscriber/relay_test.go
+++ b/internal/subscriber/relay_test.go
@@ -125,7 +125,7 @@
 	names := []string{"a", "b", "c", "d", "e"}
 	for _, name := range names {
 		one := newSubscriber(&storeClient{f.store, name}, f.peers)
-		one.options.Name, one.pace = name, newPace(apply)
+		one.options.Name, one.timing = name, newTiming(apply)
 		one.options.Relays = func() []tracker.Member {
 			return []tracker.Member{{Name: "a", Peer: "a"}, {Name: "b", Peer: "b"}}
 		}
@@ -194,7 +194,7 @@
 // word. The change comes at every point of the relay's turns.
 func TestChangeWhileTheRelayIsSilent(t *testing.T) {
 	for _, apply := range []timekeeper.Millis{1000, 2000, 5000} {
-		for offset := timekeeper.Millis(0); offset < newPace(apply).watch; offset += 130 {
+		for offset := timekeeper.Millis(0); offset < newTiming(apply).watch; offset += 130 {
 			for _, gone := range []bool{false, true} {
 				synctest.Test(t, func(t *testing.T) { changeWhileSilent(t, apply, offset, gone) })
 			}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -44,7 +44,7 @@
 // node never goes back, whatever order changes arrive in.
 type Subscriber struct {
 	options Options
-	pace    pace
+	timing  timing
 	hints   chan hint
 	backoff *connector.Backoff
 	current atomic.Pointer[held]
@@ -63,7 +63,7 @@
 // New returns a subscriber without a configuration.
 func New(options Options) *Subscriber {
 	return &Subscriber{
-		options: options, pace: newPace(options.Apply), hints: make(chan hint, 1), changed: make(chan struct{}),
+		options: options, timing: newTiming(options.Apply), hints: make(chan hint, 1), changed: make(chan struct{}),
 		backoff: connector.NewBackoff(backoffBase, backoffCap, options.Random),
 		avoided: make(map[string]timekeeper.Millis),
 	}
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -119,7 +119,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
-		_ = connector.Sleep(t.Context(), newPace(0).watch+3*backoffBase+1)
+		_ = connector.Sleep(t.Context(), newTiming(0).watch+3*backoffBase+1)
 		if s.Version() != 3 {
 			t.Errorf("version %d after %d lists", s.Version(), lists)
 		}
