admitter: the share of a rank is a share of service time

Cause: a rank below a flood kept 20% of the starts. Look-ups that wait for calls of their own take five times as long as weighings when the called service is full, so that 20% of the starts were 5% of the time.

Change: shares are reckoned by the service time of the last second; each piece of work counts 1 ms at least.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -11,10 +11,11 @@
 	running int
 	queued  int
 	limit   int // waiting work per rank
-	share   int // percentage of started work that each rank keeps at least
+	share   int // percentage of the service time that each rank keeps at least
 	closed  bool
 	ranks   [2 * Ranks]rank // those of late work come behind the others
 	starts  window
+	spent   window
 	service float64 // average service time over all work, ms
 	actions []Action
 
@@ -157,6 +158,9 @@
 	span := max(now-t.started, 0)
 	t.flow.sample(span)
 	m.rank(t).sample(span)
+	cost := max(int(span), 1)
+	m.spent.add(now, cost)
+	m.rank(t).spent.add(now, cost)
 	if m.service == 0 {
 		m.service = float64(span)
 	}
@@ -210,13 +214,13 @@
 // choose returns the rank that is served next. Some work must be waiting.
 func (m *Machine) choose(now timekeeper.Millis) *rank {
 	var first *rank
-	total := m.starts.count(now)
+	total := m.spent.count(now)
 	for i := range m.ranks {
 		r := &m.ranks[i]
 		if r.queued == 0 {
 			continue
 		}
-		if !m.noShares && r.starts.count(now)*100 < r.share*total {
+		if !m.noShares && r.spent.count(now)*100 < r.share*total {
 			return r
 		}
 		if first == nil {
@@ -230,8 +234,8 @@
 	t.phase = phaseRunning
 	t.started = now
 	m.running++
-	m.starts.add(now)
-	m.rank(t).starts.add(now)
+	m.starts.add(now, 1)
+	m.rank(t).starts.add(now, 1)
 	m.actions = append(m.actions, Start{t})
 }
 
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -15,7 +15,7 @@
 	Clock timekeeper.Clock
 	Slots int
 	Limit int // waiting work per rank; 0 for 64 times the slots
-	Share int // percentage of started work that each rank keeps at least, whatever its own share says
+	Share int // percentage of the service time that each rank keeps at least, whatever its own share says
 }
 
 // Queue puts a Machine behind a lock and channels. The lock is held for about a microsecond per call: a slot of one
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -17,6 +17,7 @@
 	flows   map[flowKey]*flow
 	since   timekeeper.Millis // when the queue was empty last
 	starts  window
+	spent   window  // ms of service
 	service float64 // average service time, ms
 }
 
--- a/internal/admitter/window.go
+++ b/internal/admitter/window.go
@@ -7,20 +7,20 @@
 	bucketSpan = timekeeper.Second / buckets
 )
 
-// window counts what happened over the last second, in steps of 100 ms.
+// window sums amounts over the last second, in steps of 100 ms.
 type window struct {
 	counts [buckets]int
 	total  int
 	last   timekeeper.Millis // number of the newest bucket
 }
 
-func (w *window) add(now timekeeper.Millis) {
+func (w *window) add(now timekeeper.Millis, amount int) {
 	w.move(now)
-	w.counts[w.last%buckets]++
-	w.total++
+	w.counts[w.last%buckets] += amount
+	w.total += amount
 }
 
-// count returns the number over the last second.
+// count returns the sum over the last second.
 func (w *window) count(now timekeeper.Millis) int {
 	w.move(now)
 	return w.total
--- a/internal/admitter/work.go
+++ b/internal/admitter/work.go
@@ -14,7 +14,7 @@
 	Account  string
 	Call     string
 	Order    int               // order of the rank; lower goes first
-	Share    int               // percentage of started work that the rank keeps
+	Share    int               // percentage of the service time that the rank keeps
 	Target   timekeeper.Millis // time within which an answer has its worth; 0 for none
 	Late     bool              // the target has passed: the work goes behind all work that can still meet its own
 	Deadline timekeeper.Millis // point in time after which the work must not start
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -142,7 +142,7 @@
 const (
 	// queueLimit bounds the waiting work per rank. Its wait is bounded by targets and deadlines long before.
 	queueLimit = 1024
-	// rankShare is the percentage of started work that each waiting rank keeps while more urgent ones flood. The
+	// rankShare is the percentage of the service time that each waiting rank keeps while more urgent ones flood. The
 	// platform's configuration orders ranks and states no shares, and no kind of request may starve.
 	rankShare = 20
 	// retryShare is the part of the platform's bound on retries that nodes use. Each node keeps its own budget, and the
