Host nodes report the share of runs that their upstream fails

Cause: an upstream that fails a part of its runs is found out by each entry node on its own, which sends it one request or two a second.

Ruled out: health checks, which are good meanwhile and cost.

Change: the load report carries the host node's share of failed runs. The choice uses the higher of that and the own calls' failures; both age.

--- a/internal/forwarder/ending.go
+++ b/internal/forwarder/ending.go
@@ -23,6 +23,7 @@
 	cancel   context.CancelFunc
 	load     admitter.Load
 	span     timekeeper.Millis // average service time of the call at the host node
+	faults   int               // runs that the upstream fails, in thousandths
 	reported bool
 	broken   bool              // the exchange ended without a whole response
 	died     bool              // the upstream ended during the run
@@ -45,7 +46,7 @@
 // that a truncated one can be retried.
 func receive(ctx context.Context, c *call, response *http.Response, cancel context.CancelFunc) *ending {
 	end := &ending{status: response.StatusCode, header: response.Header, length: response.ContentLength, cancel: cancel}
-	end.load, end.span, end.reported = decodeLoad(response.Header.Get(headerLoad))
+	end.load, end.span, end.faults, end.reported = decodeLoad(response.Header.Get(headerLoad))
 	if !c.owns(response) {
 		_ = response.Body.Close()
 		end.failure = classifier.Unknown(classifier.CodeOutcomeUnknown, c.job.Call, "the response belongs to another request")
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -215,7 +215,7 @@
 func (e *Entry) report(c *call, end *ending, latency timekeeper.Millis) router.Report {
 	report := router.Report{Request: c.pick, Latency: latency, Retry: end.wait}
 	report.Running, report.Queued, report.Reported = end.load.Running, end.load.Queued, end.reported
-	report.Span = end.span
+	report.Span, report.Faults = end.span, end.faults
 	report.Failed = end.failure == nil && end.faulty()
 	if end.failure != nil {
 		report.Code = end.failure.Code
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -97,9 +97,10 @@
 
 // encodeLoad returns the value of a Jasmine-Load header. Span is the average service time of the call, in ms; 0 if it
 // is not known.
-func encodeLoad(load admitter.Load, span timekeeper.Millis) string {
+// Faults is the share of runs that the upstream fails, in thousandths.
+func encodeLoad(load admitter.Load, span timekeeper.Millis, faults int) string {
 	text := make([]byte, 0, 32)
-	for i, number := range [...]int{load.Running, load.Queued, load.Slots, int(span)} {
+	for i, number := range [...]int{load.Running, load.Queued, load.Slots, int(span), faults} {
 		if i > 0 {
 			text = append(text, ' ')
 		}
@@ -109,21 +110,22 @@
 }
 
 // decodeLoad reads a Jasmine-Load header; false when it is missing or malformed.
-func decodeLoad(text string) (load admitter.Load, span timekeeper.Millis, ok bool) {
-	var numbers [4]int
+func decodeLoad(text string) (load admitter.Load, span timekeeper.Millis, faults int, ok bool) {
+	var numbers [5]int
 	rest := text
 	for i := range numbers {
 		word, after, _ := strings.Cut(rest, " ")
 		number, err := strconv.Atoi(word)
 		if err != nil || number < 0 || number > 1<<30 {
-			return admitter.Load{}, 0, false
+			return admitter.Load{}, 0, 0, false
 		}
 		numbers[i], rest = number, after
 	}
 	if rest != "" {
-		return admitter.Load{}, 0, false
+		return admitter.Load{}, 0, 0, false
 	}
-	return admitter.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}, timekeeper.Millis(numbers[3]), true
+	load = admitter.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
+	return load, timekeeper.Millis(numbers[3]), numbers[4], true
 }
 
 // decodeMillis reads an optional span; fallback stands for a missing header.
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -20,6 +20,7 @@
 	reported  deathCount
 	survivors isolator.Survivors
 	spans     spans
+	faults    faults
 
 	// Switches of mechanisms, set by tests only.
 	noFence, trustRestart bool
@@ -193,6 +194,8 @@
 func (h *Host) execute(ctx context.Context, x *run, generation uint64) (State, *classifier.Error) {
 	begun := h.Clock.Now()
 	answer, failure := h.upstream(ctx, x)
+	h.faults.add(failure != nil && failure.Outcome == classifier.OutcomeUnknown && ctx.Err() == nil ||
+		answer != nil && answer.status >= http.StatusInternalServerError && answer.status != http.StatusGatewayTimeout)
 	if failure != nil && failure.Outcome == classifier.OutcomeUnknown {
 		h.examine(x, failure, generation)
 	}
@@ -206,13 +209,13 @@
 	}
 	h.logAnswer(x, answer)
 	h.survivors.Add(x.Fingerprint)
-	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load(), span))
+	answer.write(x.writer, x.job, encodeLoad(h.Queue.Load(), span, h.faults.value()))
 	return StateDone, nil
 }
 
 func (h *Host) fail(w http.ResponseWriter, failure *classifier.Error) {
 	if h.Queue != nil {
-		w.Header()[headerLoad] = []string{encodeLoad(h.Queue.Load(), 0)}
+		w.Header()[headerLoad] = []string{encodeLoad(h.Queue.Load(), 0, h.faults.value())}
 	}
 	writeFailure(w, failure, h.Clock.Now())
 }
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -121,7 +121,7 @@
 func (h *Host) replay(x *run, first *deduplicator.Answer) {
 	a := &answer{status: first.Status, header: first.Header, length: int64(len(first.Body))}
 	a.body = foreignBuffer(first.Body)
-	a.write(x.writer, x.job, encodeLoad(h.Queue.Load(), 0))
+	a.write(x.writer, x.job, encodeLoad(h.Queue.Load(), 0, h.faults.value()))
 }
 
 // deathCount is the highest number of ends of the upstream that were reported.
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -34,6 +34,7 @@
 	reportedAt  atomic.Int64  // ms
 	latency     atomic.Uint64 // float64 bits, ms
 	pace        atomic.Uint64 // float64 bits, service time as a multiple of the mean over all members; 0 if not known
+	faults      atomic.Uint64 // float64 bits, 0 to 1, at the last report
 	failures    atomic.Uint64 // float64 bits, 0 to 1
 	failedAt    atomic.Int64  // ms
 	leaving     atomic.Int64  // ms until which no work is sent at all
@@ -105,11 +106,18 @@
 	}
 }
 
-// errorRate ages like a report: an endpoint that gets no calls because it failed must be tried again.
+// errorRate is the higher of the own calls' failures and what the host node reported. Both age: an endpoint that gets
+// no calls because it failed must be tried again.
 func (e *endpoint) errorRate(now timekeeper.Millis) float64 {
-	rate := math.Float64frombits(e.failures.Load())
-	if age := now - timekeeper.Millis(e.failedAt.Load()); rate > 0 && age > 0 {
-		rate *= math.Exp2(-float64(age) / float64(errorHalfLife))
+	own := aged(&e.failures, now-timekeeper.Millis(e.failedAt.Load()))
+	return max(own, aged(&e.faults, now-timekeeper.Millis(e.reportedAt.Load())))
+}
+
+// aged returns a rate that loses half of its value in errorHalfLife.
+func aged(rate *atomic.Uint64, age timekeeper.Millis) float64 {
+	value := math.Float64frombits(rate.Load())
+	if value > 0 && age > 0 {
+		value *= math.Exp2(-float64(age) / float64(errorHalfLife))
 	}
-	return rate
+	return value
 }
--- a/internal/router/pace_test.go
+++ b/internal/router/pace_test.go
@@ -49,3 +49,31 @@
 		t.Errorf("without the pace %d of 100 went to the slow one", slow)
 	}
 }
+
+// Guards against an upstream that fails part of its runs and is found out by each node on its own, request by request:
+// its host node sees all of them. The report loses its weight, so that the upstream is tried again.
+func TestReportedFaultsKeepWorkAway(t *testing.T) {
+	clock := timekeeper.Manual(1_000_000)
+	p, _ := newPicker(clock.Clock(), member("sound", "near"), member("faulty", "near"))
+	share := func() int {
+		count := 0
+		for range 100 {
+			if pick(t, p) == "faulty" {
+				count++
+			}
+		}
+		return count
+	}
+	p.Started("faulty")
+	p.Finished("faulty", Report{Request: Request{Service: "s"}, Reported: true, Faults: 400, Latency: 10})
+	if got := share(); got > 0 {
+		t.Errorf("%d of 100 go to the faulty upstream", got)
+	}
+	for range 4 {
+		p.Started("sound")
+	}
+	clock.Advance(5 * errorHalfLife)
+	if got := share(); got == 0 {
+		t.Error("the upstream is never tried again")
+	}
+}
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -58,6 +58,7 @@
 	Running  int
 	Queued   int
 	Span     timekeeper.Millis // average service time of the call at the member; 0 if it is not known
+	Faults   int               // runs that the upstream fails, in thousandths, as its host node saw all of them
 	Failed   bool              // the upstream or its node is at fault
 }
 
@@ -141,6 +142,7 @@
 		others := max(int64(report.Running+report.Queued)-one.outstanding.Load()-1, 0)
 		one.reported.Store(others)
 		one.reportedAt.Store(int64(now))
+		one.faults.Store(math.Float64bits(float64(report.Faults) / 1000))
 	}
 	if report.Span > 0 {
 		one.pace.Store(math.Float64bits(p.paces.compare(&report.Request, report.Span)))
