A goodbye that a new process hears first binds it without a start of the upstream

The node had restarted just before; the goodbye, whose body has no start of the upstream, was the first it heard. A heartbeat 2.6 s late then counted as one of a later process, since any start is above none, and as sound, since the process seemed to know the upstream.

Ruled out: the upstream's health check (it was not asked), a node that had not heard of the departure (the requests came through the host node itself).

Change: only an upstream that was heard of by a heartbeat before counts as one that restarts under the eyes of the process; after a goodbye alone the first heartbeat needs the proof. TestGoodbyeBeforeAnyHeartbeat fails without it.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -41,6 +41,7 @@
 	known    bool
 	gone     bool // the present process said that it ends, or was seen to have ended
 	draining bool // the present process said that it is leaving
+	beaten   bool // a heartbeat was taken; a goodbye alone may not say which process it is from
 	proof    proof
 	heard    timekeeper.Millis // time of the last heartbeat that was taken
 	current  atomic.Pointer[State]
@@ -70,10 +71,11 @@
 	}
 	now := r.options.Clock.Now()
 	if fresh {
-		if r.known {
+		if r.beaten {
 			r.restarts.Add(1)
 			r.proof.sound = true // the upstream started while this process was there
 		}
+		r.beaten = true
 		r.gone, r.draining = false, false
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Born),
 			zap.Int("slots", b.Slots))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -222,3 +222,24 @@
 		t.Errorf("the next process has the start of the one before; error %v", err)
 	}
 }
+
+// Guards against an upstream whose goodbye was the first that a new process heard, without the start of the upstream,
+// and that is taken back because of an old heartbeat. One that started again under its name is taken.
+func TestGoodbyeBeforeAnyHeartbeat(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		r, clock := newRegistrar()
+		r.options.Health = func(context.Context) (Health, error) { return Health{ID: "i-1", Ready: !left}, nil }
+		r.Leave(Leave{ID: "i-1"})
+		if err := r.Beat(beat(1, 7)); err != nil {
+			t.Fatal(err)
+		}
+		if r.Alive() {
+			t.Errorf("left %v: ready without a proof", left)
+		}
+		clock.Advance(healthPause)
+		r.Prove(t.Context())
+		if r.Alive() == left {
+			t.Errorf("left %v: ready %v", left, r.Alive())
+		}
+	}
+}
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -68,7 +68,7 @@
 }
 
 func decode(value []byte) (*compiler.View, error) {
-	version, err := strconv.ParseUint(strings.TrimSpace(string(value)), 10, 64)
+	version, err := strconv.ParseUint(strings.TrimSpace(strings.SplitN(string(value), "\n", 2)[0]), 10, 64)
 	return &compiler.View{Version: version}, err
 }
 
