Hosted nodes refuse single requests that crash upstreams, and no kind of call

Ruled out: overload (82 refusals for that) and the fingerprints of single requests (answered ones are not suspected).

TestUpstreamsThatEndTogether shows both.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -32,6 +32,8 @@
 	Caller      Caller
 	Directory   Directory
 	Timeout     timekeeper.Millis // per message, default 500 ms
+	// Requests refuses single requests only, and never a kind of call as a whole.
+	Requests bool
 }
 
 // Parameters of the spreading of deaths.
@@ -66,7 +68,9 @@
 	if options.Timeout == 0 {
 		options.Timeout = defaultTimeout
 	}
-	return &Isolator{options: options, table: newTable(), queue: make(chan parcel, queueLimit)}
+	i := &Isolator{options: options, table: newTable(), queue: make(chan parcel, queueLimit)}
+	i.table.requests = options.Requests
+	return i
 }
 
 // Check returns an error with code 221 and outcome "notrun" if the request is refused. It takes no lock.
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -262,3 +262,21 @@
 		}
 	}
 }
+
+// Guards against a service that is refused as a whole after many of its upstreams ended at once, as with a rack: the
+// kinds of calls that ran there are those of all traffic. With kinds of calls refused, the call is lost for 30 s.
+func TestUpstreamsThatEndTogether(t *testing.T) {
+	for _, requests := range []bool{true, false} {
+		i := New(Options{Name: "n", Clock: timekeeper.Manual(1 << 40).Clock(), Requests: requests})
+		for n := range uint64(12) {
+			i.Died([]Key{
+				{ID: fmt.Sprint("a", n), Account: "ochre", Call: "standing", Fingerprint: 2 * n},
+				{ID: fmt.Sprint("b", n), Account: "ochre", Call: "weigh", Fingerprint: 2*n + 1},
+			}, fmt.Sprint("host", n))
+		}
+		err := i.Check(Key{ID: "new", Account: "ochre", Call: "weigh", Fingerprint: 99})
+		if (err == nil) != requests {
+			t.Errorf("requests only %v: %v", requests, err)
+		}
+	}
+}
--- a/internal/isolator/table.go
+++ b/internal/isolator/table.go
@@ -49,10 +49,11 @@
 
 // table counts deaths and derives marks. It is a state machine without I/O.
 type table struct {
-	order []seen // in the order of arrival
-	known map[report]struct{}
-	marks map[subject]Mark
-	rules rules
+	requests bool   // refuses no kind of call as a whole
+	order    []seen // in the order of arrival
+	known    map[report]struct{}
+	marks    map[subject]Mark
+	rules    rules
 }
 
 // rules are the parts of the mechanism that tests turn off to show that they are needed.
@@ -109,7 +110,7 @@
 	}
 	deaths := t.events(at, shortWindow, func(k Key) bool { return k.Fingerprint == key.Fingerprint })
 	t.refuse(ScopeFingerprint, Key{Fingerprint: key.Fingerprint}, len(deaths), fingerprintDeaths, at+requestSpan)
-	if t.callSuspect(at, key) {
+	if !t.requests && t.callSuspect(at, key) {
 		kind := Key{Account: key.Account, Call: key.Call}
 		t.refuse(ScopeCall, kind, callDeaths, callDeaths, at+callSpan)
 	}
