--- a/internal/subscriber/bench_test.go
+++ b/internal/subscriber/bench_test.go
@@ -16,7 +16,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%d\n", version)
 	for i := range 1000 {
-		fmt.Fprintf(&text, `{"Name":"r-%x","PathPrefix":"/%x/","Service":"s","TimeoutS":2}`, i*7919, i*104729)
+		fmt.Fprintf(&text, `{"name":"r-%x","path":"/%x/","service":"s","timeout":2000}`, i*7919, i*104729)
 	}
 	return []byte(text.String())
 }
