tracker: fail the members of a data centre that no relay reaches

Only members of the same data centre ping each other and expire suspicions, so that nobody was left to notice, and the dead members stayed alive on all other nodes for good. Ruled out: lost updates and the order of entries; all live nodes agreed. Change: a relay that has had no successful ping of another data centre for 10 s suspects each member whose ping fails, and fails suspects there after 10 s more. A member refutes through any data centre that still reaches it.

--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -14,7 +14,10 @@
 	pingTimeout      = 500                   // of one ping, in ms
 	indirectTimeout  = 2*pingTimeout + 100   // the intermediary waits for its own ping
 	suspicionTimeout = 3 * timekeeper.Second // from suspect to failed
-	retryInterval    = 2 * timekeeper.Second // between pings of dead members or unknown addresses
+	// zoneSuspicionTimeout is how long no ping of another data centre must succeed before its members become suspect, and
+	// how long they then remain suspect. A member can refute the suspicion through a data centre that still reaches it.
+	zoneSuspicionTimeout = 10 * timekeeper.Second
+	retryInterval        = 2 * timekeeper.Second // between pings of dead members or unknown addresses
 	exchangeTimeout  = 2 * timekeeper.Second
 	indirectCount    = 2 // intermediaries that ping a member whose direct ping failed
 	// pauseThreshold is the gap between ticks above which the node considers its own process to have been paused.
@@ -24,7 +27,7 @@
 
 // mechanisms are the mechanisms to disable. Only tests set them, to show that a property depends on its mechanism.
 type mechanisms struct {
-	order, refutation, exchange, pause, retry bool
+	order, refutation, exchange, pause, retry, zones bool
 }
 
 // machine is the membership state machine. It performs no I/O; the caller serializes calls of Step.
@@ -38,7 +41,7 @@
 	nextProbe        uint64
 	probeOrder       []string                     // names of members still to be pinged in this round
 	exchanging       map[string]timekeeper.Millis // start of the exchange in flight for each data centre
-	unreachableZones map[string]bool              // data centres whose last ping failed
+	unreachableZones map[string]timekeeper.Millis // first failed ping of each data centre since the last successful one
 	seeds            []string
 	joined           bool
 	backoff          timekeeper.Millis
@@ -58,7 +61,7 @@
 	m := &machine{
 		self: self, table: newTable(), random: rand.New(rand.NewPCG(seed, hashName(self.Name))),
 		probes: make(map[uint64]*probe), exchanging: make(map[string]timekeeper.Millis),
-		unreachableZones: make(map[string]bool), queued: make(map[string]bool), lastTick: now,
+		unreachableZones: make(map[string]timekeeper.Millis), queued: make(map[string]bool), lastTick: now,
 	}
 	// A random offset spreads the pings of nodes that start together.
 	m.probeAt = now + timekeeper.Millis(m.random.Int64N(int64(probeInterval)))
@@ -111,6 +114,7 @@
 	if gap := now - m.lastTick; gap > pauseThreshold && !m.disabled.pause {
 		clear(m.probes)
 		clear(m.exchanging)
+		clear(m.unreachableZones)
 		for name := range m.table.suspects {
 			m.table.find(name).healthSince += gap
 		}
@@ -133,11 +137,20 @@
 	}
 }
 
-// failExpiredSuspects marks the suspects of the node's data centre as failed once suspicionTimeout has passed.
+// failExpiredSuspects marks suspects as failed once their timeout has passed: those of the node's data centre, and those
+// of a data centre that this node does not reach. Without the latter, the members of a data centre that fails as a whole
+// would stay alive on all other nodes, because only its own members ping each other.
 func (m *machine) failExpiredSuspects(now timekeeper.Millis) {
 	for name := range m.table.suspects {
 		r := m.table.find(name)
-		if r.member.Zone == m.self.Zone && now-r.healthSince >= suspicionTimeout {
+		timeout := suspicionTimeout
+		if zone := r.member.Zone; zone != m.self.Zone {
+			if _, unreachable := m.unreachableZones[zone]; !unreachable {
+				continue
+			}
+			timeout = zoneSuspicionTimeout
+		}
+		if now-r.healthSince >= timeout {
 			failed := r.member
 			failed.Health = HealthFailed
 			m.table.set(failed, now)
--- a/internal/tracker/mechanism_test.go
+++ b/internal/tracker/mechanism_test.go
@@ -75,6 +75,51 @@
 	}
 }
 
+// Guards against the members of a data centre that fails as a whole staying alive on all other nodes, as happens when
+// only its own members ping each other.
+func TestMembersOfFailedDataCentreFail(t *testing.T) {
+	for _, disabled := range []bool{false, true} {
+		s := newConvergedSimulation(t, 3, 4, mechanisms{zones: disabled})
+		for _, n := range s.nodes {
+			n.killed = n.zone == "zone-0"
+		}
+		if agreed := s.converge(2 * timekeeper.Minute); agreed == disabled {
+			t.Errorf("suspicion of other data centres disabled %v: agreed %v: %s", disabled, agreed, s.disagreement())
+		}
+		for _, n := range s.nodes[:1] { // zone-0 returns with one node
+			s.startProcess(n)
+		}
+		if !s.converge(2*timekeeper.Minute) && !disabled {
+			t.Errorf("after the return: %s", s.disagreement())
+		}
+	}
+}
+
+// Guards against two data centres without a link between them that declare each other failed for good, although both
+// have a link to a third one.
+func TestMissingLinkBetweenDataCentres(t *testing.T) {
+	s := newConvergedSimulation(t, 3, 4, mechanisms{})
+	s.partitioned = func(a, b *node) bool { return a.zone != b.zone && a.zone != "zone-2" && b.zone != "zone-2" }
+	failures := 0
+	for range 300 {
+		s.advance(timekeeper.Second)
+		for _, n := range s.nodes {
+			for _, other := range s.nodes {
+				if n.m.table.find(other.name).member.Health >= HealthFailed {
+					failures++
+				}
+			}
+		}
+	}
+	if failures > 0 {
+		t.Errorf("%d entries of live members were failed, summed over 300 checks", failures)
+	}
+	s.partitioned = nil
+	if !s.converge(timekeeper.Minute) {
+		t.Error(s.disagreement())
+	}
+}
+
 // Guards against two halves of a data centre that never reconnect after a network partition in which each marked the
 // other as failed, as happens without the retry of failed addresses.
 func TestPartitionedHalvesReconnect(t *testing.T) {
--- a/internal/tracker/probe.go
+++ b/internal/tracker/probe.go
@@ -75,9 +75,11 @@
 	return names
 }
 
-// probeZone makes a relay ping a relay of a random other data centre, or any member of it if the last ping failed.
+// probeZone makes a relay ping a relay of a random other data centre. If the last ping failed, it pings any member, and
+// first those that are not suspect, so that each of them is pinged.
 func (m *machine) probeZone(timekeeper.Millis) {
 	if !m.isRelay() {
+		clear(m.unreachableZones)
 		return
 	}
 	var zones []string
@@ -92,14 +94,16 @@
 	slices.Sort(zones)
 	zone := zones[m.random.IntN(len(zones))]
 	candidates := m.table.shards[zone].view.relays
-	if m.unreachableZones[zone] || len(candidates) == 0 {
-		candidates = m.table.shards[zone].view.members
+	if _, unreachable := m.unreachableZones[zone]; unreachable || len(candidates) == 0 {
+		candidates = m.table.shards[zone].view.preferAlive()
 	}
 	if len(candidates) == 0 {
 		return
 	}
 	target := candidates[m.random.IntN(len(candidates))]
-	m.startProbe(probe{purpose: purposeZone, name: target.Name, zone: zone, address: target.Peer}, 2*pingTimeout)
+	m.startProbe(probe{
+		purpose: purposeZone, name: target.Name, zone: zone, address: target.Peer, stamp: stampOf(&target),
+	}, 2*pingTimeout)
 }
 
 // retryUnreachable pings one dead member, or one seed address that belongs to no live member, so that the sides of a
@@ -168,7 +172,7 @@
 	case purposeMember:
 		m.handleFailedPing(now, p)
 	case purposeZone:
-		m.unreachableZones[p.zone] = true
+		m.handleFailedZonePing(now, p)
 	case purposeAddress:
 	}
 }
@@ -195,6 +199,23 @@
 			return
 		}
 	}
+	m.suspect(now, p)
+}
+
+// handleFailedZonePing suspects the pinged member of another data centre once zoneSuspicionTimeout has passed without a
+// successful ping of that data centre.
+func (m *machine) handleFailedZonePing(now timekeeper.Millis, p *probe) {
+	since, unreachable := m.unreachableZones[p.zone]
+	switch {
+	case !unreachable:
+		m.unreachableZones[p.zone] = now
+	case now-since >= zoneSuspicionTimeout && !m.disabled.zones:
+		m.suspect(now, p)
+	}
+}
+
+// suspect marks the target of a failed probe as suspect.
+func (m *machine) suspect(now timekeeper.Millis, p *probe) {
 	r := m.table.find(p.name)
 	if r == nil || r.member.Health != HealthAlive || stampOf(&r.member) != p.stamp {
 		return // no longer alive, or its entry was updated after the probe began
--- a/internal/tracker/shard.go
+++ b/internal/tracker/shard.go
@@ -37,6 +37,15 @@
 	relays   []Member
 }
 
+// preferAlive returns the members with the best health that any member has.
+func (v *view) preferAlive() []Member {
+	best := HealthLeft
+	for i := range v.members {
+		best = min(best, v.members[i].Health)
+	}
+	return slices.DeleteFunc(slices.Clone(v.members), func(m Member) bool { return m.Health > best })
+}
+
 func newShard() *shard {
 	return &shard{records: make(map[string]*record), staleServices: make(map[string]struct{}), view: &view{}}
 }
