forwarder: keep a run whose host node is slow to respond to polls

Ruled out: the grace period (the request ends 0.5 s after SIGTERM), the caller's and the route's timeout (2.3 s remained), and a stop of the host node. Change: a host node that reports twice that a call is not in flight still ends the exchange. A silent one does so after 2 s, and only if another attempt may follow; a poll after a silent one waits 1 s. The abort is logged with its evidence. Also: tracker/machine.go is formatted.

--- a/internal/forwarder/decision.go
+++ b/internal/forwarder/decision.go
@@ -26,6 +26,19 @@
 		zap.String("reason", string(decision.Reason)))...)
 }
 
+// logAbandonedExchange logs why an exchange in flight is aborted: the state that the host node reported for the call, or
+// err if it did not respond.
+func (e *Entry) logAbandonedExchange(exchange *watchedExchange, state State, err error) {
+	if !e.Decisions.Allow() {
+		return
+	}
+	now := e.Clock.Now()
+	e.Decisions.Info("exchange abandoned", zap.String("id", exchange.query.ID),
+		zap.Int("attempt", exchange.query.Attempt), zap.String("peer", exchange.peer), zap.String("state", string(state)),
+		zap.Int("failed_polls", exchange.failedPolls), zap.Int64("silent_ms", int64(now-exchange.heard)),
+		zap.Int64("remaining_ms", int64(exchange.query.Deadline-now)), zap.Error(err))
+}
+
 // logRequestFailure logs the failure with which a request ended.
 func (e *Entry) logRequestFailure(c *call, failure *classifier.Error) {
 	if c == nil || !e.Decisions.Allow() {
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/watch.go
@@ -5,21 +5,29 @@
 	"sync"
 	"time"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 const (
 	// watchInterval is the time in flight after which a call is polled, and the interval of its polls.
 	watchInterval timekeeper.Millis = 250
-	// watchTimeout bounds one poll.
-	watchTimeout timekeeper.Millis = 500
-	// maxFailedPolls is how many polls of a call must fail in a row before its exchange is aborted.
+	// watchTimeout bounds the first poll of a peer, and slowWatchTimeout a poll after one without a response.
+	watchTimeout     timekeeper.Millis = 500
+	slowWatchTimeout timekeeper.Millis = 1000
+	// maxFailedPolls is how many polls in a row must fail, the last one with a response that the call is not in flight,
+	// before its exchange is aborted.
 	maxFailedPolls = 2
+	// silenceTimeout is how long a peer must have responded to no poll before an exchange is aborted without evidence
+	// about the call. A machine under load or behind a full link can take over a second for a response.
+	silenceTimeout = 2 * timekeeper.Second
 )
 
 // watcher polls host nodes about calls that are in flight for long, to detect connections that went silent. Polls use
-// another connection than the call. An exchange is aborted when the host node does not know the call, has already
-// answered it, or does not respond. Calls that end within watchInterval cause no poll.
+// another connection than the call. An exchange is aborted when the host node does not know the call or has already
+// answered it. If the host node does not respond, the exchange is aborted only after silenceTimeout and only if another
+// attempt can follow: a slow machine is still at work on the call, and the caller would get a failure in its place.
+// Calls that end within watchInterval cause no poll.
 type watcher struct {
 	entry    *Entry
 	mutex    sync.Mutex
@@ -32,8 +40,10 @@
 type watchedExchange struct {
 	query       Query
 	peer        string
+	retryable   bool   // another attempt may follow if the outcome of this one is unknown
 	abort       func() // nil once the exchange ended or was aborted
 	timer       *time.Timer
+	heard       timekeeper.Millis // time of the last poll with a response, or of the first poll
 	failedPolls int
 }
 
@@ -46,7 +56,7 @@
 	if w.disabled || w.entry.Caller == nil {
 		return nil
 	}
-	exchange := &watchedExchange{query: c.query(), peer: peer, abort: abort}
+	exchange := &watchedExchange{query: c.query(), peer: peer, retryable: c.mayFollow(), abort: abort}
 	exchange.timer = time.AfterFunc(watchInterval.Duration(), func() { w.add(exchange) })
 	return exchange
 }
@@ -74,12 +84,14 @@
 		go w.poll(exchange.peer)
 	}
 	calls[exchange] = true
+	exchange.heard = w.entry.Clock.Now()
 }
 
 // poll queries the state of the calls at one peer until none are left.
 func (w *watcher) poll(peer string) {
 	ticker := time.NewTicker(watchInterval.Duration())
 	defer ticker.Stop()
+	timeout := watchTimeout
 	for {
 		calls := w.list(peer)
 		if len(calls) == 0 {
@@ -90,7 +102,11 @@
 			arguments.Queries = append(arguments.Queries, exchange.query)
 		}
 		var reply OutcomeReply
-		err := w.entry.Caller.Call(w.ctx, peer, outcomeMethod, &arguments, &reply, watchTimeout)
+		err := w.entry.Caller.Call(w.ctx, peer, outcomeMethod, &arguments, &reply, timeout)
+		timeout = watchTimeout
+		if err != nil {
+			timeout = slowWatchTimeout
+		}
 		if w.recordPoll(calls, &reply, err) {
 			w.entry.transport.CloseIdleConnections()
 		}
@@ -119,27 +135,47 @@
 	return calls
 }
 
-// recordPoll counts consecutive failed polls of each call and reports whether it aborted an exchange. Other idle
+// recordPoll applies the result of a poll to its calls and reports whether it aborted an exchange. Other idle
 // connections to the peer have probably gone silent too.
 func (w *watcher) recordPoll(calls []*watchedExchange, reply *OutcomeReply, err error) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	now := w.entry.Clock.Now()
 	aborted := false
 	for i, exchange := range calls {
+		state := State("")
 		if err == nil && i < len(reply.Statuses) {
-			state := reply.Statuses[i].State
-			if state == StateQueued || state == StateRunning {
-				exchange.failedPolls = 0
-				continue
-			}
+			state = reply.Statuses[i].State
 		}
-		exchange.failedPolls++
-		if exchange.failedPolls >= maxFailedPolls && exchange.abort != nil {
-			exchange.abort()
-			exchange.abort = nil
-			delete(w.peers[exchange.peer], exchange)
-			aborted = true
+		if exchange.abort == nil || !exchange.mustAbort(now, state) {
+			continue
 		}
+		w.entry.logAbandonedExchange(exchange, state, err)
+		exchange.abort()
+		exchange.abort = nil
+		delete(w.peers[exchange.peer], exchange)
+		aborted = true
 	}
 	return aborted
 }
+
+// mustAbort records the state of a call according to a poll, empty if the poll got no response, and reports whether its
+// exchange must be aborted.
+func (w *watchedExchange) mustAbort(now timekeeper.Millis, state State) bool {
+	switch state {
+	case StateQueued, StateRunning:
+		w.failedPolls, w.heard = 0, now
+		return false
+	case "":
+		w.failedPolls++
+		return w.retryable && now-w.heard >= silenceTimeout
+	}
+	w.failedPolls, w.heard = w.failedPolls+1, now
+	return w.failedPolls >= maxFailedPolls
+}
+
+// mayFollow reports whether another attempt may follow the current one if its outcome is unknown.
+func (c *call) mayFollow() bool {
+	limit := c.route.Call.Attempts
+	return c.job.Idempotent && !c.partOfRetry && c.job.Attempt < retrier.MaxAttempts && (limit == 0 || c.reached+1 < limit)
+}
--- a/internal/retrier/attempt.go
+++ b/internal/retrier/attempt.go
@@ -46,8 +46,8 @@
 	Reason Reason
 }
 
-// maxAttempts includes the first attempt.
-const maxAttempts = 3
+// MaxAttempts bounds the attempts of a request, the first one included.
+const MaxAttempts = 3
 
 // deny returns a decision against a retry.
 func deny(reason Reason) Decision {
@@ -73,7 +73,7 @@
 		return deny(ReasonAnswered)
 	case a.PartOfRetry && !off.retryPartOfRetry:
 		return deny(ReasonPartOfRetry)
-	case a.Number >= maxAttempts:
+	case a.Number >= MaxAttempts:
 		return deny(ReasonAttempts)
 	case a.Outcome != classifier.OutcomeNotRun && !a.Idempotent && !off.retryMayHaveRun:
 		return deny(ReasonMayHaveRun)
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -18,8 +18,8 @@
 	// how long they then remain suspect. A member can refute the suspicion through a data centre that still reaches it.
 	zoneSuspicionTimeout = 10 * timekeeper.Second
 	retryInterval        = 2 * timekeeper.Second // between pings of dead members or unknown addresses
-	exchangeTimeout  = 2 * timekeeper.Second
-	indirectCount    = 2 // intermediaries that ping a member whose direct ping failed
+	exchangeTimeout      = 2 * timekeeper.Second
+	indirectCount        = 2 // intermediaries that ping a member whose direct ping failed
 	// pauseThreshold is the gap between ticks above which the node considers its own process to have been paused.
 	// Timeouts that expired during the gap are no evidence that other members failed.
 	pauseThreshold = 2 * timekeeper.Second
