runner: the wait of a planned stop counts from its signal

The wait for requests in flight began after callers had noticed the stop (1.65 s here) and was the grace less the bound on that notice (2.65 s) and 0.8 s: each tenth by which callers noticed earlier shortened the stop. Ruled out: the route's timeout (4 s) and the upstream's silence. Change: the remaining wait is computed from the signal. It ends 50 ms inside the last sixth of the grace, the part in which the platform accepts that work is cut off, and at least 0.8 s before its end.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -21,7 +21,7 @@
 	Logger   *zap.Logger
 	Announce func()                          // sets the member's state to draining and pushes it
 	Close    func()                          // closes the admission queue for new requests
-	Grace    timekeeper.Millis               // maximum wait for calls in flight, in ms; 0 for no limit
+	Grace    func() timekeeper.Millis        // maximum wait for calls in flight, in ms; nil for no limit
 	Linger   timekeeper.Millis               // minimum time from Close to Handover, in ms, with new calls refused
 	Handover func(ctx context.Context) error // hands records over to their owners
 	Leave    func(ctx context.Context)       // announces to the mesh that the node left
@@ -107,8 +107,8 @@
 
 // waitIdle waits until no call is in flight, the grace period ends or ctx ends.
 func (d *Drainer) waitIdle(ctx context.Context) error {
-	if d.options.Grace > 0 {
-		bounded, cancel := context.WithTimeout(ctx, d.options.Grace.Duration())
+	if d.options.Grace != nil {
+		bounded, cancel := context.WithTimeout(ctx, d.options.Grace().Duration())
 		defer cancel()
 		ctx = bounded
 	}
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // checkInvariants begins and ends calls in a random order around a drain, and returns the first violation, or "".
@@ -109,7 +111,7 @@
 		record := func(step string) func() { return func() { steps = append(steps, step) } }
 		failure := errors.New("owners are unavailable")
 		d := New(Options{
-			Announce: record("announce"), Close: record("close"), Grace: 1000,
+			Announce: record("announce"), Close: record("close"), Grace: graceOf(1000),
 			Handover: func(context.Context) error { record("handover")(); return failure },
 			Leave:    func(context.Context) { record("leave")() },
 		})
@@ -130,7 +132,7 @@
 // requests: these would end with an unknown outcome instead of a refusal.
 func TestDrainLingers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := New(Options{Grace: 1000, Linger: 700})
+		d := New(Options{Grace: graceOf(1000), Linger: 700})
 		start := time.Now()
 		refused := make(chan bool, 1)
 		time.AfterFunc(500*time.Millisecond, func() { refused <- !d.Begin() })
@@ -142,3 +144,7 @@
 		}
 	})
 }
+
+func graceOf(duration timekeeper.Millis) func() timekeeper.Millis {
+	return func() timekeeper.Millis { return duration }
+}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -47,6 +48,7 @@
 	host       *forwarder.Host
 	stopping   atomic.Bool   // the readiness check fails, so that callers use another node
 	leaving    atomic.Bool   // the membership entry is draining, so that other nodes send no new requests
+	stopStart  time.Time     // time of the stop signal, on the monotonic clock; set before the drain
 	notReady   chan struct{} // one entry for each readiness check that failed during the stop
 }
 
@@ -120,7 +122,7 @@
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.dependencies.Clock, Slots: 1, Limit: queueLimit, Share: rankShare})
 	n.drainer = drainer.New(drainer.Options{
-		Logger: n.loggerFor("drainer"), Grace: n.grace(), Linger: lingerTime, Close: n.queue.Drain, Leave: n.leave,
+		Logger: n.loggerFor("drainer"), Grace: n.remainingGrace, Linger: lingerTime, Close: n.queue.Drain, Leave: n.leave,
 	})
 	options := forwarder.Options{
 		Clock: n.dependencies.Clock, Logger: n.loggerFor("forwarder"),
--- a/internal/runner/hostedrun.go
+++ b/internal/runner/hostedrun.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"reflect"
 	"runtime/debug"
+	"time"
 
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -19,9 +20,13 @@
 const (
 	// minGrace is the shortest bound on the wait for requests in flight at a planned stop, in ms.
 	minGrace = 500 * timekeeper.Millis(1)
-	// stopReserve is the part of the time for a planned stop that is reserved for the three steps after requests in
+	// stopReserve is the least part of the time for a planned stop that is reserved for the three steps after requests in
 	// flight have ended, each bounded by hostedStopTimeout, and for late timers, in ms.
 	stopReserve = 800 * timekeeper.Millis(1)
+	// reserveDivisor divides the time for a planned stop into the part at its end in which the platform accepts that
+	// requests in flight are cut off. The node waits for them reserveMargin longer, so that its wait ends within that part.
+	reserveDivisor = 6
+	reserveMargin  = 50 * timekeeper.Millis(1)
 	// hostedStopTimeout bounds each step after requests in flight have ended, in ms, such as the last bytes of responses
 	// and the node's departure from the mesh.
 	hostedStopTimeout = 200 * timekeeper.Millis(1)
@@ -111,6 +116,7 @@
 		return nil
 	}
 	n.logger.Info("node: draining")
+	n.stopStart = time.Now()
 	n.stopping.Store(true)
 	n.awaitNotice(base) // meanwhile the upstream still serves requests of other nodes
 	n.leaving.Store(true)
@@ -173,10 +179,16 @@
 	return timekeeper.Millis(seconds * float64(timekeeper.Second))
 }
 
-// grace returns the bound on the wait for requests in flight at a planned stop: the platform's time limit less the
-// notice to callers and the steps after the wait.
-func (n *Hosted) grace() timekeeper.Millis {
-	return max(toMillis(n.settings.Hosted.Grace)-noticeTimeout-noticeMargin-stopReserve, minGrace)
+// remainingGrace returns how long the planned stop may still wait for requests in flight. The time that callers took to
+// notice the stop counts as it was: with its bound in its place, requests were cut off a second before they had to be.
+func (n *Hosted) remainingGrace() timekeeper.Millis {
+	return graceAfter(toMillis(n.settings.Hosted.Grace), timekeeper.Millis(time.Since(n.stopStart).Milliseconds()))
+}
+
+// graceAfter returns the remaining wait for requests in flight at a time after the stop signal.
+func graceAfter(limit, elapsed timekeeper.Millis) timekeeper.Millis {
+	reserve := max(limit/reserveDivisor-reserveMargin, stopReserve)
+	return max(limit-reserve-elapsed, minGrace)
 }
 
 // leave informs other nodes that this node is leaving the mesh.
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -167,7 +167,7 @@
 		URL: "http://" + n.settings.Upstream.Address + n.settings.Upstream.Probe, Logger: n.loggerFor("prober"),
 	})
 	n.drainer = drainer.New(drainer.Options{
-		Logger: n.loggerFor("drainer"), Grace: drainGrace,
+		Logger: n.loggerFor("drainer"), Grace: func() timekeeper.Millis { return drainGrace },
 		Announce: func() { n.Tracker.SetSelf(func(m *tracker.Member) { m.State = tracker.StateDraining }) },
 		Close:    n.queue.Drain, Handover: n.deduplicator.HandOver, Leave: n.Tracker.Leave,
 	})
