--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -29,8 +29,8 @@
 // cyclesMetric is the number of completed garbage collections since the start of the process.
 const cyclesMetric = "/gc/cycles/total:gc-cycles"
 
-// Collector trades memory for processor time: an idle process keeps its heap small, and a busy one collects garbage at a
-// bounded rate. The memory limit of the runtime holds in any case.
+// Collector trades memory for processor time: an idle process keeps its heap small, and a busy one collects garbage at
+// a bounded rate. The memory limit of the runtime holds in any case.
 type Collector struct {
 	percent float64
 	cycles  uint64
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -15,26 +15,20 @@
 	now, cycles, garbage := timekeeper.Millis(0), uint64(0), 0.0
 	c := New(now)
 	percent := minPercent
-	run := func(seconds int, allocated float64) (rate float64) {
+	run := func(seconds int, allocated float64) {
 		for range seconds {
 			now += timekeeper.Second
 			garbage += allocated // MB a second
-			before := cycles
 			for growth := live * float64(percent) / 100; garbage >= growth; garbage -= growth {
 				cycles++
 			}
-			rate = float64(cycles - before)
 			percent = c.Step(now, cycles)
 		}
-		return rate
 	}
-	var got []int
-	for _, load := range []struct {
-		seconds   int
-		allocated float64
-	}{{30, 0.5}, {30, 12}, {30, 120}, {60, 0.5}} {
-		run(load.seconds, load.allocated)
-		got = append(got, percent)
+	got := make([]int, 4)
+	for i, allocated := range []float64{0.5, 12, 120, 0.5} {
+		run(60, allocated)
+		got[i] = percent
 	}
 	if got[1] < 60 || got[1] > 150 {
 		t.Errorf("%d%% at 12 MB a second", got[1])
--- a/internal/forwarder/decision.go
+++ b/internal/forwarder/decision.go
@@ -26,8 +26,8 @@
 		zap.String("reason", string(decision.Reason)))...)
 }
 
-// logAbandonedExchange logs why an exchange in flight is aborted: the state that the host node reported for the call, or
-// err if it did not respond.
+// logAbandonedExchange logs why an exchange in flight is aborted: the state that the host node reported for the call,
+// or err if it did not respond.
 func (e *Entry) logAbandonedExchange(exchange *watchedExchange, state State, err error) {
 	if !e.Decisions.Allow() {
 		return
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -16,8 +16,8 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// endlessAnswers are bytes that an upstream sends until its connection ends: a start, then the same text again and again.
-// The head is bounded by maxHead, a body by the deadline.
+// endlessAnswers are bytes that an upstream sends until its connection ends: a start, then the same text again and
+// again. The head is bounded by maxHead, a body by the deadline.
 var endlessAnswers = map[string]struct {
 	start, repeated string
 	inBody          bool
--- a/internal/forwarder/watch_test.go
+++ b/internal/forwarder/watch_test.go
@@ -40,10 +40,12 @@
 		"silent below the timeout":   {true, []poll{{500, ""}, {1000, ""}, {1999, ""}}, false},
 		"silent for the timeout":     {true, []poll{{500, ""}, {2000, ""}}, true},
 		"silent, no further attempt": {false, []poll{{500, ""}, {2000, ""}, {60_000, ""}}, false},
-		"slow but responding":        {true, []poll{{1500, StateRunning}, {3000, ""}, {3400, StateQueued}, {5000, ""}}, false},
-		"answered twice":             {false, []poll{{10, StateDone}, {260, StateDone}}, true},
-		"unknown after a silence":    {false, []poll{{500, ""}, {750, StateAbsent}}, true},
-		"running in between":         {false, []poll{{10, StateDone}, {260, StateRunning}, {510, StateDone}}, false},
+		"slow but responding": {
+			true, []poll{{1500, StateRunning}, {3000, ""}, {3400, StateQueued}, {5000, ""}}, false,
+		},
+		"answered twice":          {false, []poll{{10, StateDone}, {260, StateDone}}, true},
+		"unknown after a silence": {false, []poll{{500, ""}, {750, StateAbsent}}, true},
+		"running in between":      {false, []poll{{10, StateDone}, {260, StateRunning}, {510, StateDone}}, false},
 	} {
 		const begin = timekeeper.Millis(1_000_000)
 		exchange := &watchedExchange{retryable: c.retryable, heard: begin}
--- a/internal/runner/hostedrun.go
+++ b/internal/runner/hostedrun.go
@@ -24,7 +24,7 @@
 	// flight have ended, each bounded by hostedStopTimeout, and for late timers, in ms.
 	stopReserve = 800 * timekeeper.Millis(1)
 	// reserveDivisor divides the time for a planned stop into the part at its end in which the platform accepts that
-	// requests in flight are cut off. The node waits for them reserveMargin longer, so that its wait ends within that part.
+	// requests in flight are cut off. The node waits reserveMargin longer, so that its wait ends within that part.
 	reserveDivisor = 6
 	reserveMargin  = 50 * timekeeper.Millis(1)
 	// hostedStopTimeout bounds each step after requests in flight have ended, in ms, such as the last bytes of responses
