--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -138,8 +138,8 @@
 }
 
 // failExpiredSuspects marks suspects as failed once their timeout has passed: those of the node's data centre, and
-// those of a data centre that this node does not reach. Without the latter, the members of a data centre that fails as a
-// whole would stay alive on all other nodes, because only its own members ping each other.
+// those of a data centre that this node does not reach. Without the latter, the members of a data centre that fails as
+// a whole would stay alive on all other nodes, because only its own members ping each other.
 func (m *machine) failExpiredSuspects(now timekeeper.Millis) {
 	for name := range m.table.suspects {
 		r := m.table.find(name)
