Log and measure what an upstream states about itself in its responses

The logs could not tell whether a node knows the limit that its upstream states, or how many requests it sends. No decision depends on them yet.

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -76,6 +76,13 @@
 	return *q.load.Load()
 }
 
+// Started returns the number of requests that started in the last second.
+func (q *Queue) Started() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.machine.starts.sum(q.clock.Now())
+}
+
 // SetSlots changes the number of slots. Running requests continue even if there are more of them than slots.
 func (q *Queue) SetSlots(slots int) {
 	q.step(Resize{slots})
--- a/internal/forwarder/decision.go
+++ b/internal/forwarder/decision.go
@@ -72,6 +72,14 @@
 		zap.Bool("late", x.Late), zap.String("cause", failure.Reason))
 }
 
+// logUnreadableLimit logs that the upstream stated a limit that cannot be read.
+func (h *Host) logUnreadableLimit(x *hostAttempt, err error) {
+	if h.Decisions.Allow() {
+		h.Decisions.Info("limit of the upstream ignored", zap.String("id", x.ID), zap.String("instance", x.instance),
+			zap.Error(err))
+	}
+}
+
 // logUpstreamFailure logs a server error of the upstream, which is passed on unchanged.
 func (h *Host) logUpstreamFailure(x *hostAttempt, a *upstreamResponse) {
 	if a.status < http.StatusInternalServerError || !h.Decisions.Allow() {
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -37,6 +37,8 @@
 const (
 	HeaderInstance = "Jasmine-Instance" // host node to upstream: id of the process that is to run the request
 	HeaderOrigin   = "Jasmine-Origin"   // host node to upstream: service beside the entry node
+	HeaderLimit    = "Jasmine-Limit"    // upstream to host node: requests per second that it accepts from all nodes
+	HeaderLeaving  = "Jasmine-Leaving"  // upstream to host node: 1 if it ends soon and accepts no new requests
 	HeaderID       = headerID           // id of the request
 	HeaderDeadline = headerDeadline     // remaining time in ms
 	HeaderWait     = headerWait         // ms after which a refused request may be retried
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -53,6 +53,13 @@
 	Restarts() uint64
 }
 
+// Observer learns what the upstream states about itself in its responses; *registrar.Registrar satisfies it. The
+// instance is the id of the process that responded.
+type Observer interface {
+	ObserveLimit(instance string, limit admitter.Limit)
+	ObserveLeaving(instance string)
+}
+
 // Isolator refuses requests that crash upstreams; *isolator.Isolator satisfies it.
 type Isolator interface {
 	Check(key isolator.Key) error
@@ -100,6 +107,7 @@
 	// Host node.
 	Queue    *admitter.Queue
 	Prober   Prober
+	Observer Observer
 	Upstream string // address of the upstream, such as 127.0.0.1:9000
 	// Instance returns the id of the upstream's current process, false if none accepts new work; nil if processes have
 	// no ids.
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, upstreamFailure(ctx, j, err)
 	}
+	h.observe(x, response)
 	if response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun) {
 		_ = response.Body.Close()
 		failure := classifier.Refuse(classifier.CodeOverload, j.Call, "the upstream shed the request")
@@ -53,6 +54,23 @@
 	return a, nil
 }
 
+// observe reports what the upstream states about itself. A response of another process than the expected one is ignored,
+// and an unreadable limit leaves the known one in force.
+func (h *Host) observe(x *hostAttempt, response *http.Response) {
+	if h.Observer == nil || response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if response.Header.Get(HeaderLeaving) == "1" {
+		h.Observer.ObserveLeaving(x.instance)
+	}
+	limit, err := admitter.ParseLimit(response.Header.Get(HeaderLimit))
+	if err != nil {
+		h.logUnreadableLimit(x, err)
+		return
+	}
+	h.Observer.ObserveLimit(x.instance, limit)
+}
+
 // readBody reads the whole body, or its first part if it is longer than maxBufferedBytes.
 func (a *upstreamResponse) readBody(response *http.Response) error {
 	a.body = buffers.get()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
@@ -40,6 +41,7 @@
 	known             bool // a heartbeat or a deregistration was accepted
 	down              bool // the current process deregistered, missed its heartbeats or failed a connection check
 	draining          bool // the current process announced that it is leaving, or deregistered
+	leavingStated     bool // the current process stated in a response that it is leaving
 	heartbeatAccepted bool // false after a deregistration alone, which may lack the incarnation
 	verification      verification
 	lastHeartbeat     timekeeper.Millis // time of the last accepted heartbeat
@@ -75,7 +77,8 @@
 			r.verification.passed = true // the upstream restarted while this process was running
 		}
 		r.heartbeatAccepted = true
-		r.down, r.draining = false, false
+		r.down, r.draining, r.leavingStated = false, false, false
+		r.state.Limit = admitter.Limit{}
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Incarnation),
 			zap.Int("slots", b.Slots))
 	}
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -21,6 +21,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/retrier"
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/subscriber"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
@@ -37,19 +38,20 @@
 	client       *messenger.Client
 	rpc          *messenger.Server
 
-	tracker    *tracker.Tracker
-	subscriber *subscriber.Subscriber
-	registrar  *registrar.Registrar
-	seeder     *seeder
-	isolator   *isolator.Isolator
-	queue      *admitter.Queue
-	drainer    *drainer.Drainer
-	entry      *forwarder.Entry
-	host       *forwarder.Host
-	stopping   atomic.Bool   // the readiness check fails, so that callers use another node
-	leaving    atomic.Bool   // the membership entry is draining, so that other nodes send no new requests
-	stopStart  time.Time     // time of the stop signal, on the monotonic clock; set before the drain
-	notReady   chan struct{} // one entry for each readiness check that failed during the stop
+	tracker     *tracker.Tracker
+	subscriber  *subscriber.Subscriber
+	registrar   *registrar.Registrar
+	seeder      *seeder
+	isolator    *isolator.Isolator
+	queue       *admitter.Queue
+	drainer     *drainer.Drainer
+	entry       *forwarder.Entry
+	host        *forwarder.Host
+	stopping    atomic.Bool       // the readiness check fails, so that callers use another node
+	leaving     atomic.Bool       // the membership entry is draining, so that other nodes send no new requests
+	stopStart   time.Time         // time of the stop signal, on the monotonic clock; set before the drain
+	limitLogged timekeeper.Millis // time of the last log line about a stated limit; used by watchUpstream only
+	notReady    chan struct{}     // one entry for each readiness check that failed during the stop
 }
 
 // NewHosted assembles a node. It opens no address and makes no connection; Run does.
@@ -68,7 +70,7 @@
 	n.rpc = messenger.NewServer(options)
 	n.addMembership()
 	n.addRequests()
-	n.meter.AddRuntime()
+	n.addMetrics()
 	n.tracker.Join(settings.Seeds)
 	return n, n.register()
 }
@@ -136,6 +138,7 @@
 			Clock: n.dependencies.Clock, Ratio: n.settings.Hosted.Retries * retryShare,
 		}), MaxBody: n.settings.Body,
 		OpaqueIDs: true, Isolator: n.isolator, Queue: n.queue, Prober: n.registrar,
+		Observer: n.registrar,
 		Upstream: n.settings.Upstream.Address, Instance: n.registrar.Instance, WrapTransport: n.protocol.Upstream,
 	}
 	n.entry = forwarder.NewEntry(options)
--- a/internal/runner/hostedrun.go
+++ b/internal/runner/hostedrun.go
@@ -171,10 +171,43 @@
 	for connector.Sleep(ctx, refreshPeriod) == nil {
 		n.registrar.ExpireStale()
 		n.registrar.Verify(ctx)
+		n.logLimit()
 	}
 	return nil
 }
 
+// limitLogInterval is the time between two log lines about a stated limit, in ms.
+const limitLogInterval = timekeeper.Second
+
+// logLimit logs how many requests the node sends to an upstream that states a limit.
+func (n *Hosted) logLimit() {
+	limit, now := n.registrar.Current().Limit, n.dependencies.Clock.Now()
+	if !limit.Stated || now-n.limitLogged < limitLogInterval {
+		return
+	}
+	n.limitLogged = now
+	load := n.queue.Load()
+	n.logger.Info("node: upstream is limited", zap.Float64("limit", limit.Rate),
+		zap.Int("started_1s", n.queue.Started()), zap.Int("running", load.Running), zap.Int("queued", load.Queued))
+}
+
+// addMetrics registers the metrics of the node whose values are read when the metrics are written.
+func (n *Hosted) addMetrics() {
+	n.meter.AddRuntime()
+	n.meter.Function("queue_running", func() int64 { return int64(n.queue.Load().Running) })
+	n.meter.Function("queue_waiting", func() int64 { return int64(n.queue.Load().Queued) })
+	n.meter.Function("queue_started_last_second", func() int64 { return int64(n.queue.Started()) })
+	n.meter.Function("upstream_limited", func() int64 {
+		if n.registrar.Current().Limit.Stated {
+			return 1
+		}
+		return 0
+	})
+	n.meter.Function("upstream_limit_per_1000s", func() int64 {
+		return int64(n.registrar.Current().Limit.Rate * 1000)
+	})
+}
+
 func toMillis(seconds float64) timekeeper.Millis {
 	return timekeeper.Millis(seconds * float64(timekeeper.Second))
 }
