admitter: space the starts of requests by the limit that the upstream states

What users saw: an upstream that states a limit gets up to 1.4 times what the rule allows over it (319 requests in 4 s at 38.1/s, 234 allowed).

Cause: admission at the host node bounds how many requests run at once, and nothing bounds how many start per second. The stated limit reached no decision.

Change: the host node is the only way to its upstream, so the limit is applied there, for all nodes and kinds of request at once, retries and nested calls included. A start costs credit that grows at the stated rate, up to 250 ms of it. Waits are estimated from the rate, so that a request which would miss its target or deadline is refused at once, with the wait as its hint. Ranks keep their order and shares. At a limit of 0 nothing starts.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -13,6 +13,7 @@
 	rankLimit   int // maximum number of waiting requests per rank
 	minShare    int // percentage of the service time that is guaranteed to every rank
 	closed      bool
+	pacer       pacer
 	ranks       [2 * Ranks]rank // the second half holds late requests
 	starts      window          // started requests
 	served      window          // service time of finished requests, ms
@@ -43,6 +44,8 @@
 		m.expire(now)
 	case Resize:
 		m.slots = max(e.Slots, 0)
+	case Restrict:
+		m.pacer.set(now, e.Limit)
 	case Close:
 		m.closed = true
 	}
@@ -87,7 +90,7 @@
 	} else {
 		t.flow = r.findOrCreate(t.Account, "call "+t.Call)
 	}
-	if m.running < m.slots && m.queued == 0 {
+	if m.queued == 0 && m.mayStart(now) {
 		m.start(now, t)
 		return
 	}
@@ -199,10 +202,24 @@
 	m.refuse(t, classifier.CodeDeadlinePassed, 0)
 }
 
+// mayStart reports whether a slot is free and the limit of the upstream allows another start.
+func (m *Machine) mayStart(now timekeeper.Millis) bool {
+	return m.running < m.slots && m.pacer.ready(now)
+}
+
+// untilWake returns the time in ms after which the limit of the upstream allows a waiting request to start; 0 if none
+// waits for that. The machine then needs a Wake.
+func (m *Machine) untilWake(now timekeeper.Millis) timekeeper.Millis {
+	if m.queued == 0 || m.running >= m.slots || m.pacer.ready(now) {
+		return 0
+	}
+	return m.pacer.untilReady(now)
+}
+
 // dispatch assigns free slots to waiting requests. A request that would probably not end before its deadline is
 // refused: it would waste a slot, and its outcome would be unknown to the caller.
 func (m *Machine) dispatch(now timekeeper.Millis) {
-	for m.running < m.slots && m.queued > 0 {
+	for m.queued > 0 && m.mayStart(now) {
 		t := m.nextRank(now).pop()
 		m.queued--
 		if now+t.flow.minRemaining() >= t.Deadline {
@@ -237,6 +254,7 @@
 	t.phase = phaseRunning
 	t.started = now
 	m.running++
+	m.pacer.take(now)
 	m.starts.add(now, 1)
 	m.rankOf(t).starts.add(now, 1)
 	m.actions = append(m.actions, Start{t})
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
@@ -25,6 +26,7 @@
 	mutex   sync.Mutex
 	machine *Machine
 	load    atomic.Pointer[Load]
+	timer   *time.Timer // sends a Wake to the machine; nil before its first use
 }
 
 // New returns a queue with all slots free.
@@ -88,6 +90,11 @@
 	q.step(Resize{slots})
 }
 
+// SetLimit changes the limit of the upstream. Running requests continue.
+func (q *Queue) SetLimit(limit Limit) {
+	q.step(Restrict{limit})
+}
+
 // Drain refuses all later requests with code 222. Requests that wait or run are not affected.
 func (q *Queue) Drain() {
 	q.step(Close{})
@@ -97,7 +104,8 @@
 func (q *Queue) step(event Event) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, action := range q.machine.Step(q.clock.Now(), event) {
+	now := q.clock.Now()
+	for _, action := range q.machine.Step(now, event) {
 		switch a := action.(type) {
 		case Start:
 			a.Ticket.ready <- nil
@@ -107,6 +115,18 @@
 	}
 	load := q.machine.Load()
 	q.load.Store(&load)
+	if wait := q.machine.untilWake(now); wait > 0 {
+		q.wakeAfter(wait)
+	}
+}
+
+// wakeAfter sends a Wake to the machine after a time in ms. The caller holds the lock.
+func (q *Queue) wakeAfter(wait timekeeper.Millis) {
+	if q.timer == nil {
+		q.timer = time.AfterFunc(wait.Duration(), func() { q.step(Wake{}) })
+		return
+	}
+	q.timer.Reset(wait.Duration())
 }
 
 // refusalError returns the error that Admit reports for a refusal.
--- a/internal/admitter/wait.go
+++ b/internal/admitter/wait.go
@@ -5,10 +5,10 @@
 // estimateWait estimates how long a new request of t's flow waits for a slot, in ms.
 func (m *Machine) estimateWait(now timekeeper.Millis, t *Ticket) timekeeper.Millis {
 	r := m.rankOf(t)
-	slots := float64(max(m.slots, 1))
 	count := float64(r.countAhead(t.flow) + 1)
 	before, reserved := m.competingRanks(r)
-	queueWait := (before + count*r.serviceTime) / slots
+	cost := m.startInterval(r)
+	queueWait := max(before+count*cost-m.pacer.credit*m.pacer.interval(), 0)
 	if before == 0 {
 		return timekeeper.Millis(queueWait / max(1-float64(reserved)/100, 0.05))
 	}
@@ -19,7 +19,7 @@
 		wait = max(wait, count*float64(timekeeper.Second)/float64(started))
 	}
 	if r.share > 0 && !m.noShares {
-		guaranteed := count * r.serviceTime / slots * 100 / float64(r.share)
+		guaranteed := count * cost * 100 / float64(r.share)
 		if r.starts.total == 0 {
 			return timekeeper.Millis(guaranteed)
 		}
@@ -28,8 +28,14 @@
 	return timekeeper.Millis(wait)
 }
 
-// competingRanks returns the queued service time in ms of the ranks that are served before own, and the sum of the
-// shares of the ranks after it that have waiting requests.
+// startInterval returns the mean time in ms between two starts of a rank that has the upstream for itself: its slots or
+// its limit bound it.
+func (m *Machine) startInterval(r *rank) float64 {
+	return max(r.serviceTime/float64(max(m.slots, 1)), m.pacer.interval())
+}
+
+// competingRanks returns the time in ms in which the queued requests of the ranks that are served before own start, and
+// the sum of the shares of the ranks after it that have waiting requests.
 func (m *Machine) competingRanks(own *rank) (before float64, reserved int) {
 	passed := false
 	for i := range m.ranks {
@@ -38,7 +44,7 @@
 		case r == own:
 			passed = true
 		case !passed:
-			before += float64(r.queued) * r.serviceTime
+			before += float64(r.queued) * m.startInterval(r)
 		case r.queued > 0 && !m.noShares:
 			reserved += r.share
 		}
--- a/internal/admitter/work.go
+++ b/internal/admitter/work.go
@@ -76,15 +76,23 @@
 // Resize sets the number of slots.
 type Resize struct{ Slots int }
 
+// Restrict sets the limit of the upstream.
+type Restrict struct{ Limit Limit }
+
+// Wake starts the waiting requests that the limit of the upstream now allows.
+type Wake struct{}
+
 // Close refuses all later arrivals; requests that wait or run are not affected.
 type Close struct{}
 
-func (Arrive) event() {}
-func (Finish) event() {}
-func (Cancel) event() {}
-func (Expire) event() {}
-func (Resize) event() {}
-func (Close) event()  {}
+func (Arrive) event()   {}
+func (Finish) event()   {}
+func (Cancel) event()   {}
+func (Expire) event()   {}
+func (Resize) event()   {}
+func (Restrict) event() {}
+func (Wake) event()     {}
+func (Close) event()    {}
 
 // Action is an output of a Machine.
 type Action interface{ action() }
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -177,6 +177,7 @@
 	if state.Slots > 0 && state.Slots != n.queue.Load().Slots {
 		n.queue.SetSlots(state.Slots)
 	}
+	n.queue.SetLimit(state.Limit)
 	n.tracker.SetSelf(func(m *tracker.Member) {
 		m.Slots, m.Started = state.Slots, state.ColdStartEnd
 		switch {
