router: choose upstreams by the slots that their limits leave

What callers saw: while some upstreams of a service state limits and others have room, look-ups take longer and cross data centres, since entry nodes send limited upstreams as much as others.

Cause: an upstream at its limit runs few requests at once, so its load per slot is low and it looks idle.

Change: a host node whose upstream has a limit reports with its load how many requests run at once at that limit (rate times service time). Entry nodes use this in place of the slots. The figure is added to the header only while there is a limit, since older nodes reject a longer header.

--- a/internal/admitter/machine.go
+++ b/internal/admitter/machine.go
@@ -55,7 +55,7 @@
 
 // Load returns the current load.
 func (m *Machine) Load() Load {
-	return Load{Running: m.running, Queued: m.queued, Slots: m.slots}
+	return Load{Running: m.running, Queued: m.queued, Slots: m.slots, Capacity: m.pacer.concurrency(m.serviceTime)}
 }
 
 func (m *Machine) rankOf(t *Ticket) *rank {
--- a/internal/admitter/pacer.go
+++ b/internal/admitter/pacer.go
@@ -83,3 +83,15 @@
 	p.refill(now)
 	return max(timekeeper.Millis(math.Ceil((1-p.credit)*p.interval())), 1)
 }
+
+// concurrency is the mean number of requests that run at once when starts are at the limit, in thousandths and at least
+// 1; 0 without a limit or a known service time in ms.
+func (p *pacer) concurrency(serviceTime float64) int {
+	if !p.limit.Stated || serviceTime <= 0 {
+		return 0
+	}
+	return max(int(min(p.limit.Rate*serviceTime, maxConcurrency)), 1)
+}
+
+// maxConcurrency bounds the reported concurrency, in thousandths.
+const maxConcurrency = 1 << 30
--- a/internal/admitter/work.go
+++ b/internal/admitter/work.go
@@ -25,6 +25,9 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Capacity is the number of requests that run at once when starts are at the limit of the upstream, in thousandths;
+	// 0 if the slots are the only bound.
+	Capacity int
 }
 
 // RetryError is the cause of a refusal for overload. After is the delay in ms after which the same request is likely to
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -220,6 +220,7 @@
 func (e *Entry) report(c *call, result *attemptResult, latency timekeeper.Millis) router.Report {
 	report := router.Report{Request: c.pick, Latency: latency, RetryAfter: result.retryDelay}
 	report.Running, report.Queued, report.HasLoad = result.load.Running, result.load.Queued, result.loadReported
+	report.Capacity = result.load.Capacity
 	report.ServiceTime, report.FailurePermille = result.serviceTime, result.failurePermille
 	report.Failed = result.failure == nil && result.upstreamFailed()
 	if result.failure != nil {
--- a/internal/forwarder/header_test.go
+++ b/internal/forwarder/header_test.go
@@ -37,6 +37,9 @@
 			t.Fatalf("job differs (-want +got):\n%s", diff)
 		}
 		load := admitter.Load{Running: number("running", 99), Queued: number("queued", 999), Slots: 6}
+		if rapid.Bool().Draw(t, "limited") {
+			load.Capacity = number("capacity", 99_000)
+		}
 		if got, mean, failed, ok := decodeLoad(encodeLoad(load, 120, 35)); !ok || got != load || mean != 120 || failed != 35 {
 			t.Fatalf("load %+v became %+v", load, got)
 		}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -99,10 +99,16 @@
 }
 
 // encodeLoad returns the value of a Jasmine-Load header. serviceTime is the average service time of the call in ms, 0
-// if unknown. failurePermille is the share of runs that the upstream fails, in thousandths.
+// if unknown. failurePermille is the share of runs that the upstream fails, in thousandths. The capacity follows only
+// if the upstream has a limit, since older nodes reject a longer header.
 func encodeLoad(load admitter.Load, serviceTime timekeeper.Millis, failurePermille int) string {
+	numbers := [...]int{load.Running, load.Queued, load.Slots, int(serviceTime), failurePermille, load.Capacity}
+	count := len(numbers)
+	if load.Capacity == 0 {
+		count--
+	}
 	text := make([]byte, 0, 32)
-	for i, number := range [...]int{load.Running, load.Queued, load.Slots, int(serviceTime), failurePermille} {
+	for i, number := range numbers[:count] {
 		if i > 0 {
 			text = append(text, ' ')
 		}
@@ -113,9 +119,12 @@
 
 // decodeLoad reads a Jasmine-Load header; false when it is missing or malformed.
 func decodeLoad(text string) (load admitter.Load, serviceTime timekeeper.Millis, failurePermille int, ok bool) {
-	var numbers [5]int
+	var numbers [6]int
 	rest := text
 	for i := range numbers {
+		if i == len(numbers)-1 && rest == "" {
+			break
+		}
 		word, after, _ := strings.Cut(rest, " ")
 		number, err := strconv.Atoi(word)
 		if err != nil || number < 0 || number > 1<<30 {
@@ -126,7 +135,7 @@
 	if rest != "" {
 		return admitter.Load{}, 0, 0, false
 	}
-	load = admitter.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2]}
+	load = admitter.Load{Running: numbers[0], Queued: numbers[1], Slots: numbers[2], Capacity: numbers[5]}
 	return load, timekeeper.Millis(numbers[3]), numbers[4], true
 }
 
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -32,6 +32,7 @@
 type endpoint struct {
 	outstanding       atomic.Int64
 	reported          atomic.Int64  // running and queued calls of other nodes at the last report
+	capacity          atomic.Int64  // requests at once at the upstream's limit, in thousandths; 0 for all slots
 	reportedAt        atomic.Int64  // time in ms
 	latency           atomic.Uint64 // moving average in ms, float64 bits
 	serviceTimeRatio  atomic.Uint64 // service time as a multiple of the mean over all members, float64 bits; 0 if unknown
@@ -78,6 +79,16 @@
 	return float64(e.outstanding.Load()) + reported
 }
 
+// limitedSlots returns the number of slots that the limit of the upstream leaves, or 0 if it has none. The number doubles
+// with each half-life of the report: without new calls there is no new report, and the limit may have ended.
+func (e *endpoint) limitedSlots(now timekeeper.Millis) float64 {
+	slots := float64(e.capacity.Load()) / 1000
+	if age := now - timekeeper.Millis(e.reportedAt.Load()); slots > 0 && age > 0 {
+		slots *= math.Exp2(float64(age) / float64(reportHalfLife))
+	}
+	return slots
+}
+
 // updateEWMA adds a sample to an exponentially weighted moving average.
 func updateEWMA(target *atomic.Uint64, sample, weight float64) {
 	for {
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -57,6 +57,7 @@
 	HasLoad         bool              // the response carried Running and Queued
 	Running         int
 	Queued          int
+	Capacity        int               // requests that may run at once at the upstream's limit, in thousandths; 0 for all slots
 	ServiceTime     timekeeper.Millis // average service time of the call at the member; 0 if unknown
 	FailurePermille int               // failed runs of the upstream per thousand, over all runs that its host node saw
 	Failed          bool              // the upstream or its node is at fault
@@ -143,6 +144,7 @@
 		// ended.
 		others := max(int64(report.Running+report.Queued)-e.outstanding.Load()-1, 0)
 		e.reported.Store(others)
+		e.capacity.Store(int64(report.Capacity))
 		e.reportedAt.Store(int64(now))
 		e.reportedErrorRate.Store(math.Float64bits(float64(report.FailurePermille) / 1000))
 	}
--- a/internal/router/search.go
+++ b/internal/router/search.go
@@ -115,10 +115,14 @@
 	return a.endpoint.latencyMillis() < b.endpoint.latencyMillis()
 }
 
-// score is the load per slot, with fewer slots during warm-up, plus a penalty for failures.
+// score is the load per slot, with fewer slots during warm-up, plus a penalty for failures. Where a limit leaves fewer
+// slots, the load includes the request itself, since these slots may be less than one.
 func (s *search) score(c candidate) float64 {
-	slots := float64(max(c.member.Slots, 1)) * s.warmUpWeight(c)
-	return c.endpoint.load(s.now)/slots + errorPenalty*c.endpoint.errorRate(s.now)
+	slots, load := float64(max(c.member.Slots, 1))*s.warmUpWeight(c), c.endpoint.load(s.now)
+	if capacity := c.endpoint.limitedSlots(s.now); capacity > 0 && capacity < slots {
+		slots, load = capacity, load+1
+	}
+	return load/slots + errorPenalty*c.endpoint.errorRate(s.now)
 }
 
 // warmUpWeight grows from warmUpFloor to 1 during warmUpTime after the start of the upstream.
