registrar: an upstream that states in a response that it is leaving gets no new work

What users could see: requests that reach an upstream later than the drain time after it said in its answers that it leaves. Its heartbeats may say so seconds later, and some upstreams never do.

Cause: only heartbeats and deregistrations ended the work of an upstream; what its responses state was read and not used.

Change: a host node that sees the statement treats it as the heartbeat that states the same: it refuses new work as not run, other nodes hear of it with the membership entry, and only a later process of the upstream is ready again.

TestLeavingStatedInAResponse fails without the change (ready after the response and after a late heartbeat).

--- a/internal/registrar/observe.go
+++ b/internal/registrar/observe.go
@@ -24,14 +24,15 @@
 	r.publish()
 }
 
-// ObserveLeaving records that the upstream stated in a response that it is leaving.
+// ObserveLeaving records that the upstream stated in a response that it is leaving, which its heartbeats may state
+// later or never. It gets no new requests from then on.
 func (r *Registrar) ObserveLeaving(instance string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.state.ID != instance || r.leavingStated {
+	if r.state.ID != instance || r.draining {
 		return
 	}
-	r.leavingStated = true
-	r.options.Logger.Info("upstream states that it is leaving", zap.String("instance", instance),
-		zap.Bool("draining", r.draining))
+	r.draining = true
+	r.options.Logger.Info("upstream states that it is leaving", zap.String("instance", instance))
+	r.publish()
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -41,7 +41,6 @@
 	known             bool // a heartbeat or a deregistration was accepted
 	down              bool // the current process deregistered, missed its heartbeats or failed a connection check
 	draining          bool // the current process announced that it is leaving, or deregistered
-	leavingStated     bool // the current process stated in a response that it is leaving
 	heartbeatAccepted bool // false after a deregistration alone, which may lack the incarnation
 	verification      verification
 	lastHeartbeat     timekeeper.Millis // time of the last accepted heartbeat
@@ -77,7 +76,7 @@
 			r.verification.passed = true // the upstream restarted while this process was running
 		}
 		r.heartbeatAccepted = true
-		r.down, r.draining, r.leavingStated = false, false, false
+		r.down, r.draining = false, false
 		r.state.Limit = admitter.Limit{}
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Incarnation),
 			zap.Int("slots", b.Slots))
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// Guards against an upstream that gets new requests although its responses state that it is leaving: its heartbeats may
+// state this seconds later, and those on the way still report it as ready.
+func TestLeavingStatedInAResponse(t *testing.T) {
+	r, _ := newRegistrar()
+	steps := []struct {
+		name string
+		do   func()
+		want bool // ready afterwards
+	}{
+		{"first heartbeat", func() { _ = r.Heartbeat(heartbeat(1, 1)) }, true},
+		{"response of another process", func() { r.ObserveLeaving("i-0") }, true},
+		{"response", func() { r.ObserveLeaving("i-1") }, false},
+		{"late heartbeat", func() { _ = r.Heartbeat(heartbeat(1, 2)) }, false},
+		{"next process", func() { _ = r.Heartbeat(heartbeat(2, 1)) }, true},
+	}
+	for _, step := range steps {
+		step.do()
+		if diff := cmp.Diff(step.want, r.Alive()); diff != "" {
+			t.Errorf("%s: ready differs (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
 // Guards against a heartbeat from another sender that changes the state of the upstream.
 func TestHeartbeatsOfOtherSenders(t *testing.T) {
 	r, _ := newRegistrar()
