registrar: a new process learns the limit of its upstream before it sends much

What users could see: after a restart of a node, a burst over the limit that the upstream has stated for a while; or, at a limit near 0, an upstream that gets no work although it has withdrawn its limit.

Cause: the limit was known from responses to requests only. A new process had seen none and used all slots until the first came, and at a low limit no request is allowed whose response could show the end of the limit.

Change: a health check also tells limit and departure, even one that is shed. Until a first response shows whether there is a limit, at most 4 requests run at once. When no response has come for 2 s while a limit is known, a health check asks. A limit ends with the process that stated it. The limit is set before the slots, so that what waits does not start in between.

TestLimitIsAskedAgain and TestLimitEndsWithTheProcess cover the rest.

--- a/internal/registrar/health.go
+++ b/internal/registrar/health.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
@@ -18,12 +19,18 @@
 	// verifyingHeartbeats is the number of heartbeats that replace a successful health check. An upstream that has
 	// left causes only a few late heartbeats, and health checks may be wrong.
 	verifyingHeartbeats = 3
+	// limitTimeout is the age of the last response, in ms, from which a health check asks whether a limit is still in
+	// force: at a low limit no request may be allowed for seconds.
+	limitTimeout = 2 * timekeeper.Second
 )
 
-// Health is the response of an upstream to a health check.
+// Health is the response of an upstream to a health check. A check that the upstream shed fails, but its Limit and
+// Leaving are valid.
 type Health struct {
-	ID    string
-	Ready bool // accepts new requests
+	ID      string
+	Ready   bool // accepts new requests
+	Limit   admitter.Limit
+	Leaving bool
 }
 
 // verification is the state of the check that the first upstream seen by this process is still running. The previous
@@ -35,8 +42,8 @@
 	passed     bool
 }
 
-// Verify runs a health check of the upstream if the instance in its heartbeats is not verified yet. Call it a few times
-// a second.
+// Verify runs a health check of the upstream if the instance in its heartbeats is not verified yet, or if its limit may
+// have ended without a response that shows it. Call it a few times a second.
 func (r *Registrar) Verify(ctx context.Context) {
 	id, ok := r.beginHealthCheck()
 	if !ok {
@@ -49,7 +56,16 @@
 	defer r.mutex.Unlock()
 	r.options.Logger.Info("upstream health checked", zap.String("instance", id), zap.String("answered", health.ID),
 		zap.Bool("ready", health.Ready), zap.Error(err))
-	if err != nil || r.state.ID != id {
+	if r.state.ID != id {
+		return
+	}
+	if err == nil && health.ID == id || health.Limit.Stated {
+		r.recordLimit(health.Limit)
+	}
+	if health.Leaving {
+		r.recordLeaving()
+	}
+	if err != nil || r.verification.passed {
 		return
 	}
 	r.verification.attempts = healthAttempts // no further check until the next heartbeat
@@ -64,8 +80,16 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.options.Clock.Now()
-	unverified := r.known && !r.down && !r.draining && !r.verification.passed
-	if !unverified || r.verification.attempts >= healthAttempts || now-r.verification.checkedAt < healthInterval {
+	if !r.known || r.down || r.draining {
+		return "", false
+	}
+	sinceCheck := now - r.verification.checkedAt
+	if r.verification.passed {
+		sinceResponse := now - timekeeper.Millis(r.lastResponse.Load())
+		if !r.state.Limit.Stated || sinceResponse < limitTimeout || sinceCheck < limitTimeout {
+			return "", false
+		}
+	} else if r.verification.attempts >= healthAttempts || sinceCheck < healthInterval {
 		return "", false
 	}
 	r.verification.attempts++
--- a/internal/registrar/observe.go
+++ b/internal/registrar/observe.go
@@ -9,18 +9,29 @@
 // ObserveLimit records the limit that the upstream stated in a response, or that it stated none. A response of another
 // process than the current one is ignored.
 func (r *Registrar) ObserveLimit(instance string, limit admitter.Limit) {
-	if current := r.current.Load(); current.ID != instance || current.Limit == limit {
+	current := r.current.Load()
+	if current.ID != instance {
+		return
+	}
+	r.lastResponse.Store(int64(r.options.Clock.Now()))
+	if current.Responded && current.Limit == limit {
 		return
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.state.ID != instance || r.state.Limit == limit {
-		return
+	if r.state.ID == instance {
+		r.recordLimit(limit)
 	}
-	r.options.Logger.Info("upstream states another limit", zap.String("instance", instance),
-		zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate), zap.Bool("limited_before", r.state.Limit.Stated),
-		zap.Float64("limit_before", r.state.Limit.Rate))
-	r.state.Limit = limit
+}
+
+// recordLimit records a limit of the current process. The caller holds the lock.
+func (r *Registrar) recordLimit(limit admitter.Limit) {
+	if r.state.Limit != limit {
+		r.options.Logger.Info("upstream states another limit", zap.String("instance", r.state.ID),
+			zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate),
+			zap.Bool("limited_before", r.state.Limit.Stated), zap.Float64("limit_before", r.state.Limit.Rate))
+	}
+	r.state.Limit, r.state.Responded = limit, true
 	r.publish()
 }
 
@@ -29,10 +40,17 @@
 func (r *Registrar) ObserveLeaving(instance string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.state.ID != instance || r.draining {
+	if r.state.ID == instance {
+		r.recordLeaving()
+	}
+}
+
+// recordLeaving records that the current process is leaving. The caller holds the lock.
+func (r *Registrar) recordLeaving() {
+	if r.draining {
 		return
 	}
 	r.draining = true
-	r.options.Logger.Info("upstream states that it is leaving", zap.String("instance", instance))
+	r.options.Logger.Info("upstream states that it is leaving", zap.String("instance", r.state.ID))
 	r.publish()
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,6 +46,7 @@
 	lastHeartbeat     timekeeper.Millis // time of the last accepted heartbeat
 	current           atomic.Pointer[State]
 	restarts          atomic.Uint64
+	lastResponse      atomic.Int64 // time of the last response to a request, in ms
 }
 
 // New returns a registrar without an upstream.
@@ -77,7 +78,7 @@
 		}
 		r.heartbeatAccepted = true
 		r.down, r.draining = false, false
-		r.state.Limit = admitter.Limit{}
+		r.state.Responded, r.state.Limit = false, admitter.Limit{}
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Incarnation),
 			zap.Int("slots", b.Slots))
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
@@ -270,3 +271,65 @@
 		}
 	}
 }
+
+// Guards against a limit that stays in force although the upstream has withdrawn it: at a low limit no request is allowed
+// for so long that no response shows the end of the limit.
+func TestLimitIsAskedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		health  Health
+		failure error
+		want    admitter.Limit
+	}{
+		"ended":            {Health{ID: "i-1", Ready: true}, nil, admitter.Limit{}},
+		"higher":           {Health{ID: "i-1", Ready: true, Limit: limit(9)}, nil, limit(9)},
+		"shed":             {Health{Limit: limit(3)}, errors.New("shed"), limit(3)},
+		"no response":      {Health{}, errors.New("timeout"), limit(0)},
+		"another upstream": {Health{ID: "i-2", Ready: true}, nil, limit(0)},
+	} {
+		r, clock := newRegistrar()
+		checks := 0
+		r.options.Health = func(context.Context) (Health, error) {
+			checks++
+			return c.health, c.failure
+		}
+		for sequence := range verifyingHeartbeats {
+			if err := r.Heartbeat(heartbeat(1, uint64(sequence)+1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.ObserveLimit("i-1", limit(0))
+		clock.Advance(limitTimeout - 1)
+		if r.Verify(t.Context()); checks != 0 {
+			t.Errorf("%s: health check although a response is recent", name)
+		}
+		clock.Advance(1)
+		r.Verify(t.Context())
+		r.Verify(t.Context())
+		if diff := cmp.Diff(c.want, r.Current().Limit); diff != "" || checks != 1 || !r.Alive() {
+			t.Errorf("%s: ready %v after %d checks, limit differs (-want +got):\n%s", name, r.Alive(), checks, diff)
+		}
+	}
+}
+
+func limit(rate float64) admitter.Limit {
+	return admitter.Limit{Stated: true, Rate: rate}
+}
+
+// Guards against a limit of one process of the upstream that is applied to the next one.
+func TestLimitEndsWithTheProcess(t *testing.T) {
+	r, _ := newRegistrar()
+	if err := r.Heartbeat(heartbeat(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.ObserveLimit("i-0", limit(9))
+	if r.Current().Responded || r.Current().Limit.Stated {
+		t.Error("a response of another process counts")
+	}
+	r.ObserveLimit("i-1", limit(9))
+	if err := r.Heartbeat(heartbeat(2, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.Current(); got.Responded || got.Limit.Stated {
+		t.Errorf("the next process has the limit %+v", got.Limit)
+	}
+}
--- a/internal/registrar/state.go
+++ b/internal/registrar/state.go
@@ -9,6 +9,7 @@
 type State struct {
 	Heartbeat
 	Ready        bool              // accepts new requests
+	Responded    bool              // a response showed whether the upstream has a limit
 	Limit        admitter.Limit    // stated in the last response
 	ColdStartEnd timekeeper.Millis // end of the slow start, by the clock of the node
 }
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -154,6 +154,9 @@
 	// retryShare is the fraction of the platform's bound on retries that nodes use. Each node keeps its own budget, and
 	// unused credit may carry over to the next interval, which then has the retries of two intervals.
 	retryShare = 0.5
+	// unknownLimitSlots bounds the requests that run at once until a first response shows whether the upstream has a
+	// limit. A node that restarts beside a limited upstream would otherwise send as many as it has slots.
+	unknownLimitSlots = 4
 	// memoryShare is the percentage of the process's memory limit above which garbage is collected more often.
 	memoryShare = 80
 )
@@ -174,10 +177,14 @@
 
 // announce updates the node's membership entry and queue to the state of its upstream.
 func (n *Hosted) announce(state registrar.State) {
-	if state.Slots > 0 && state.Slots != n.queue.Load().Slots {
-		n.queue.SetSlots(state.Slots)
+	n.queue.SetLimit(state.Limit) // before more slots start what waits
+	slots := state.Slots
+	if !state.Responded {
+		slots = min(slots, unknownLimitSlots)
+	}
+	if slots > 0 && slots != n.queue.Load().Slots {
+		n.queue.SetSlots(slots)
 	}
-	n.queue.SetLimit(state.Limit)
 	n.tracker.SetSelf(func(m *tracker.Member) {
 		m.Slots, m.Started = state.Slots, state.ColdStartEnd
 		switch {
