--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -33,6 +33,8 @@
 	Logger   *zap.Logger
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
 	Changed  func(alive bool)                                                     // called when Alive changes; may be nil
+	// Responded is called with the header of each response to a probe; may be nil.
+	Responded func(header http.Header)
 }
 
 // Prober keeps one open connection to the upstream. When the upstream's process ends, the kernel closes that
@@ -134,6 +136,9 @@
 	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	p.closeAnnounced.Store(response.Close)
+	if p.options.Responded != nil {
+		p.options.Responded(response.Header)
+	}
 	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
 		return errors.New(response.Status)
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -53,6 +53,7 @@
 	keeper       *deduplicator.Keeper
 	isolator     *isolator.Isolator
 	queue        *admitter.Queue
+	observer     *observer
 	prober       *prober.Prober
 	drainer      *drainer.Drainer
 	entry        *forwarder.Entry
@@ -163,8 +164,12 @@
 		Clock: n.dependencies.Clock, Caller: n.client, Directory: n.Tracker,
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.dependencies.Clock, Slots: max(n.settings.Slots, 1)})
+	n.observer = &observer{
+		setLimit: n.queue.SetLimit, restarts: func() uint64 { return n.prober.Restarts() }, logger: n.loggerFor("observer"),
+	}
 	n.prober = prober.New(prober.Options{
 		URL: "http://" + n.settings.Upstream.Address + n.settings.Upstream.Probe, Logger: n.loggerFor("prober"),
+		Responded: n.observer.observeProbe,
 	})
 	n.drainer = drainer.New(drainer.Options{
 		Logger: n.loggerFor("drainer"), Grace: func() timekeeper.Millis { return drainGrace },
@@ -181,7 +186,8 @@
 		Caller: n.client, Retrier: retrier.New(retrier.Options{Clock: n.dependencies.Clock}), NewID: n.deduplicator.NewID,
 		HomeZone: homeZoneOf(placement), Internal: n.settings.Internal, MaxBody: n.settings.Body,
 		Coordinator: n.deduplicator, Isolator: n.isolator,
-		Queue: n.queue, Prober: n.prober, Upstream: n.settings.Upstream.Address,
+		Queue: n.queue, Prober: n.prober, Observer: n.observer, Instance: n.observer.instance,
+		Upstream: n.settings.Upstream.Address,
 	}
 	n.entry = forwarder.NewEntry(options)
 	options.Dial = nil // the upstream is local; Dial is for connections to other nodes
--- /dev/null
+++ b/internal/runner/observer.go
@@ -0,0 +1,70 @@
+package runner
+
+import (
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
+)
+
+// observer applies what the upstream of a node that is not hosted states about itself: in responses to requests and to
+// probes. It is safe for concurrent use.
+type observer struct {
+	setLimit func(admitter.Limit)
+	restarts func() uint64 // number of ends of the upstream's process
+	logger   *zap.Logger
+
+	mutex       sync.Mutex
+	limit       admitter.Limit
+	leaving     bool
+	leavingLife uint64 // value of restarts when the upstream stated that it is leaving
+}
+
+// ObserveLimit implements forwarder.Observer.
+func (o *observer) ObserveLimit(_ string, limit admitter.Limit) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.limit == limit {
+		return
+	}
+	o.logger.Info("limit changed", zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate),
+		zap.Bool("limited_before", o.limit.Stated), zap.Float64("limit_before", o.limit.Rate))
+	o.limit = limit
+	o.setLimit(limit)
+}
+
+// ObserveLeaving implements forwarder.Observer.
+func (o *observer) ObserveLeaving(string) {
+	life := o.restarts()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.leaving && o.leavingLife == life {
+		return
+	}
+	o.leaving, o.leavingLife = true, life
+	o.logger.Info("upstream is leaving")
+}
+
+// observeProbe records what the response to a probe states.
+func (o *observer) observeProbe(header http.Header) {
+	if header.Get(forwarder.HeaderLeaving) == "1" {
+		o.ObserveLeaving("")
+	}
+	limit, err := admitter.ParseLimit(header.Get(forwarder.HeaderLimit))
+	if err != nil {
+		o.logger.Warn("limit in the response to a probe ignored", zap.Error(err))
+		return
+	}
+	o.ObserveLimit("", limit)
+}
+
+// instance reports whether the upstream accepts new requests. Processes of such upstreams have no ids.
+func (o *observer) instance() (id string, ok bool) {
+	life := o.restarts()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return "", !o.leaving || o.leavingLife != life
+}
--- /dev/null
+++ b/internal/runner/observer_test.go
@@ -0,0 +1,45 @@
+package runner
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
+)
+
+// Guards against a limit or a departure that an upstream states to a node that is not hosted and that has no effect, and
+// against a departure that outlives the process which stated it.
+func TestObserver(t *testing.T) {
+	type result struct {
+		Limits  []admitter.Limit
+		Accepts []bool
+	}
+	var got result
+	restarts := uint64(0)
+	o := &observer{
+		setLimit: func(l admitter.Limit) { got.Limits = append(got.Limits, l) },
+		restarts: func() uint64 { return restarts }, logger: zap.NewNop(),
+	}
+	accepts := func() {
+		_, ok := o.instance()
+		got.Accepts = append(got.Accepts, ok)
+	}
+	limited := admitter.Limit{Stated: true, Rate: 12.5}
+	accepts()
+	o.ObserveLimit("", limited)
+	o.observeProbe(http.Header{forwarder.HeaderLimit: {"12.5"}})
+	o.observeProbe(http.Header{forwarder.HeaderLimit: {"a lot"}})
+	o.observeProbe(http.Header{})
+	o.observeProbe(http.Header{forwarder.HeaderLeaving: {"1"}})
+	accepts()
+	restarts++
+	accepts()
+	want := result{[]admitter.Limit{limited, {}}, []bool{true, false, true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("effects differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -152,7 +152,8 @@
 		return
 	}
 	state := tracker.StateStarting
-	if n.Follower.Ready() && n.prober.Alive() && slots > 0 {
+	_, accepts := n.observer.instance()
+	if n.Follower.Ready() && n.prober.Alive() && accepts && slots > 0 {
 		state = tracker.StateReady
 	}
 	self := n.Tracker.Self()
