Log the era of the platform

The logs could not tell a platform that came back from an older copy from one that was only away. No decision depends on it yet.

--- a/internal/connector/object.go
+++ b/internal/connector/object.go
@@ -9,8 +9,11 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-// Snapshot holds all objects of one kind, or the changed ones, as of a revision of the whole platform.
+// Snapshot holds all objects of one kind, or the changed ones, as of a revision of the whole platform. Era counts how
+// often the platform came back from an older copy of its objects: the revisions of two eras are not comparable. It is 0
+// if the platform states none.
 type Snapshot struct {
+	Era      uint64   `json:"era,omitempty"`
 	Revision uint64   `json:"revision"`
 	Objects  []Object `json:"objects"`
 }
--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -81,6 +81,10 @@
 }
 
 func (s *Subscriber) applySnapshot(snapshot connector.Snapshot) {
+	if before := s.era.Swap(snapshot.Era); before != snapshot.Era {
+		s.options.Logger.Info("platform states another era", zap.Uint64("era", snapshot.Era),
+			zap.Uint64("era_before", before), zap.Uint64("revision", snapshot.Revision), zap.Uint64("version", s.Version()))
+	}
 	for _, object := range snapshot.Objects {
 		if object.Name == s.options.Object && !object.Deleted {
 			s.apply(object.Value, "platform")
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -49,6 +49,7 @@
 	backoff           *connector.Backoff
 	current           atomic.Pointer[configuration]
 	lastPlatformReply atomic.Int64                 // time of the last reply of the platform to this node, ms
+	era               atomic.Uint64                // of the platform at its last reply
 	platformFailed    atomic.Bool                  // the last call to the platform failed
 	lastPeerRequest   atomic.Int64                 // time of the last request of another node, ms
 	directUntil       timekeeper.Millis            // the node watches the platform itself until this time
