--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -153,3 +153,40 @@
 		<-done
 	})
 }
+
+// Guards against a change that is lost when the platform comes back from an older copy between two watches and gives
+// out as many revisions again: the watch goes on from a revision of the lost history and gets no event.
+func TestChangeAfterARestoredCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		restored := false
+		era := func() uint64 {
+			if restored {
+				return 2
+			}
+			return 1
+		}
+		platform := &scriptedPlatform{
+			list: func() (connector.Snapshot, error) {
+				snapshot := stored(strconv.Itoa(4 + int(era())))
+				snapshot.Era, snapshot.Revision = era(), 10
+				return snapshot, nil
+			},
+			watch: func(uint64, timekeeper.Millis) (connector.Snapshot, error) {
+				return connector.Snapshot{Era: era(), Revision: 10}, nil
+			},
+		}
+		s := newSubscriber(platform, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		_ = connector.Sleep(t.Context(), newTiming(0).watchWait+1)
+		before := s.Version()
+		restored = true
+		_ = connector.Sleep(t.Context(), defaultApplyTime)
+		if diff := cmp.Diff([]uint64{5, 6}, []uint64{before, s.Version()}); diff != "" {
+			t.Errorf("versions before and after differ (-want +got):\n%s", diff)
+		}
+		cancel()
+		<-done
+	})
+}
