subscriber: list again when the platform states another era

What callers could see: a confirmed change, or an added route, that is not in force on any node of a data centre until the next change.

Cause: a watch went on from a revision of the history that the platform had lost. Once as many revisions are given out again, the platform accepts it and reports no event for the changes before. Class of fault: a position in a sequence that began anew. An outage hid it, since each failed call is followed by a list; the copy has to come back between two watches.

Change: a watch whose reply is of another era than the one before is followed by a list at once.

--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -18,7 +18,8 @@
 	initialBackoffCap = 500 * timekeeper.Millis(1)
 )
 
-// followPlatform reads the object, then watches it until a call fails or this node can wait at a relay.
+// followPlatform reads the object, then watches it until a call fails or this node can wait at a relay. It reads the
+// object again when the platform came back from an older copy.
 func (s *Subscriber) followPlatform(ctx context.Context) {
 	revision, err := s.list(ctx)
 	for err == nil && ctx.Err() == nil {
@@ -26,7 +27,12 @@
 		if _, ok := s.selectRelay(); ok {
 			return
 		}
+		era := s.era.Load()
 		revision, err = s.watch(ctx, revision)
+		if err == nil && s.era.Load() != era {
+			// The revision may belong to the lost history: changes up to the same number came without events.
+			revision, err = s.list(ctx)
+		}
 	}
 	if ctx.Err() != nil {
 		return
