seeder: poll at once when the platform came back from an older copy

What users could see: servers added after such a drill get no request from others for up to a minute.

Cause: what nodes wrote to the platform is taken as lasting. The seed object of a data centre may be missing or list nodes that have left, and relays look at it every 30 to 60 s.

Change: the subscriber reports a new era, and the seeder polls at once; only relays and nodes that know no other call the platform for that.

--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -91,6 +91,7 @@
 		Apply:   toMillis(n.settings.Hosted.Apply),
 		Members: func() int { return len(n.tracker.Zone(n.settings.Zone)) },
 		Clock:   n.dependencies.Clock, Logger: n.loggerFor("subscriber"), Random: newRandom(),
+		OnRestore: func() { n.seeder.pollNow() },
 	})
 	n.tracker = tracker.NewTracker(tracker.Options{
 		Self: tracker.Member{
@@ -106,7 +107,7 @@
 	})
 	n.seeder = &seeder{
 		platform: n.protocol.Platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Announced(),
-		logger: n.loggerFor("seeder"),
+		logger: n.loggerFor("seeder"), wake: make(chan struct{}, 1),
 	}
 	n.registrar = registrar.New(registrar.Options{
 		Service: n.settings.Service, Address: n.settings.Upstream.Address,
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -37,6 +38,7 @@
 	zone     string
 	peer     string
 	logger   *zap.Logger
+	wake     chan struct{} // ends the pause between two polls; nil if the platform states no eras
 }
 
 // run joins the mesh through the seed objects of all data centres. On relays it then keeps the seed object of the
@@ -50,11 +52,31 @@
 		pause := pauseAfter(err, s.alone())
 		// Jitter keeps nodes that start together from calling the platform together.
 		pause += timekeeper.Millis(rand.Int64N(int64(pause)))
-		_ = connector.Sleep(ctx, pause)
+		s.wait(ctx, pause)
 	}
 	return nil
 }
 
+// wait returns after a time in ms, when the platform came back from an older copy, or when ctx ends.
+func (s *seeder) wait(ctx context.Context, pause timekeeper.Millis) {
+	timer := time.NewTimer(pause.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.wake:
+	case <-ctx.Done():
+	}
+}
+
+// pollNow ends the pause between two polls. The platform may have lost seed objects, without which new nodes find no
+// others. It does not block.
+func (s *seeder) pollNow() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // pauseAfter returns the time until the next poll. A node that knows no other live node polls again soon: nodes that
 // start at the same time may all have found no seed object, and only one of them wrote it.
 func pauseAfter(err error, alone bool) timekeeper.Millis {
--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -90,6 +90,9 @@
 	if before := s.era.Swap(snapshot.Era); before != snapshot.Era {
 		s.options.Logger.Info("platform states another era", zap.Uint64("era", snapshot.Era),
 			zap.Uint64("era_before", before), zap.Uint64("revision", snapshot.Revision), zap.Uint64("version", s.Version()))
+		if before != 0 && s.options.OnRestore != nil {
+			s.options.OnRestore()
+		}
 	}
 	for _, object := range snapshot.Objects {
 		if object.Name == s.options.Object && !object.Deleted {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -38,6 +38,8 @@
 	Clock  timekeeper.Clock
 	Logger *zap.Logger
 	Random *rand.Rand
+	// OnRestore is called when the platform came back from an older copy; may be nil. It must not block.
+	OnRestore func()
 }
 
 // Subscriber follows one object of the platform. It ignores versions that are not above the active one, so that a node
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -176,6 +176,8 @@
 			},
 		}
 		s := newSubscriber(platform, nil)
+		restorations := 0
+		s.options.OnRestore = func() { restorations++ }
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Run(ctx) }()
@@ -188,5 +190,8 @@
 		}
 		cancel()
 		<-done
+		if restorations != 1 {
+			t.Errorf("%d restorations were reported", restorations)
+		}
 	})
 }
