platform: compare no revisions of the store across its eras

What users could see: a seed object overwritten on the condition of a revision that the store has given out again, or a list whose pages come from before and after a restored copy.

Change: objects carry the era in which they were read.

--- a/internal/connector/object.go
+++ b/internal/connector/object.go
@@ -1,9 +1,10 @@
 package connector
 
-// Object is one stored value. Revision grows with every write to the platform.
+// Object is one stored value. Revision grows with every write to the platform within an Era; see Snapshot.
 type Object struct {
 	Kind     string `json:"kind"`
 	Name     string `json:"name"`
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	Value    []byte `json:"value,omitempty"`
 	Deleted  bool   `json:"deleted,omitempty"`
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -117,7 +117,7 @@
 		}
 		addresses = append(addresses, found.Addresses...)
 		if object.Name == s.zone {
-			own.Revision, listed = object.Revision, found.Addresses
+			own.Era, own.Revision, listed = object.Era, object.Revision, found.Addresses
 		}
 	}
 	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == s.peer })
