--- a/internal/admitter/pacer_test.go
+++ b/internal/admitter/pacer_test.go
@@ -11,8 +11,8 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// Guards against starts above the limit of the upstream in any span, and against a waiting request that is never started
-// although the limit and the slots allow it.
+// Guards against starts above the limit of the upstream in any span, and against a waiting request that is never
+// started although the limit and the slots allow it.
 func TestStartsKeepTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.2, 60).Draw(t, "rate")
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -54,8 +54,8 @@
 	return a, nil
 }
 
-// observe reports what the upstream states about itself. A response of another process than the expected one is ignored,
-// and an unreadable limit leaves the known one in force.
+// observe reports what the upstream states about itself. A response of another process than the expected one is
+// ignored, and an unreadable limit leaves the known one in force.
 func (h *Host) observe(x *hostAttempt, response *http.Response) {
 	if h.Observer == nil || response.StatusCode == http.StatusMisdirectedRequest {
 		return
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -272,8 +272,8 @@
 	}
 }
 
-// Guards against a limit that stays in force although the upstream has withdrawn it: at a low limit no request is allowed
-// for so long that no response shows the end of the limit.
+// Guards against a limit that stays in force although the upstream has withdrawn it: at a low limit no request is
+// allowed for so long that no response shows the end of the limit.
 func TestLimitIsAskedAgain(t *testing.T) {
 	for name, c := range map[string]struct {
 		health  Health
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -79,8 +79,8 @@
 	return float64(e.outstanding.Load()) + reported
 }
 
-// limitedSlots returns the number of slots that the limit of the upstream leaves, or 0 if it has none. The number doubles
-// with each half-life of the report: without new calls there is no new report, and the limit may have ended.
+// limitedSlots returns the number of slots that the limit of the upstream leaves, or 0 if it has none. The number
+// doubles with each half-life of the report: without new calls there is no new report, and the limit may have ended.
 func (e *endpoint) limitedSlots(now timekeeper.Millis) float64 {
 	slots := float64(e.capacity.Load()) / 1000
 	if age := now - timekeeper.Millis(e.reportedAt.Load()); slots > 0 && age > 0 {
--- a/internal/router/picker.go
+++ b/internal/router/picker.go
@@ -57,7 +57,7 @@
 	HasLoad         bool              // the response carried Running and Queued
 	Running         int
 	Queued          int
-	Capacity        int               // requests that may run at once at the upstream's limit, in thousandths; 0 for all slots
+	Capacity        int               // requests that run at once at the upstream's limit, in thousandths; 0 without one
 	ServiceTime     timekeeper.Millis // average service time of the call at the member; 0 if unknown
 	FailurePermille int               // failed runs of the upstream per thousand, over all runs that its host node saw
 	Failed          bool              // the upstream or its node is at fault
--- a/internal/runner/observer_test.go
+++ b/internal/runner/observer_test.go
@@ -11,8 +11,8 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
 )
 
-// Guards against a limit or a departure that an upstream states to a node that is not hosted and that has no effect, and
-// against a departure that outlives the process which stated it.
+// Guards against a limit or a departure that an upstream states to a node that is not hosted and that has no effect,
+// and against a departure that outlives the process which stated it.
 func TestObserver(t *testing.T) {
 	type result struct {
 		Limits  []admitter.Limit
