soak: servers that state a limit, and a platform restored from an older copy

Each seed with unplanned faults now has one server that states a limit of 1 to 20 requests per second for 7 s and more, and one restored copy of the platform, 2 s and more old, with or without an outage before it. The check of limits counts what servers got, with the users' bound and without its exemptions for nodes with faults. The new faults are drawn apart, so that the seeds of earlier failures keep theirs. The faker platform can record its writes and go back to an earlier state, and gives revisions out again.

--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -22,6 +22,15 @@
 	changed  chan struct{}                          // closed at the next write or deletion
 	fault    func(Operation) Fault                  // nil for no faults
 	calls    map[string]int                         // calls so far, by method and kind
+	era      uint64                                 // 1 more with each Restore
+	recorded bool                                   // writes are recorded
+	writes   []write                                // all writes of the current history, oldest first
+}
+
+// write records a write for Restore.
+type write struct {
+	at     time.Time
+	object connector.Object
 }
 
 // Operation describes a call that a fault function decides on.
@@ -44,6 +53,39 @@
 		objects: make(map[string]map[string]connector.Object),
 		changed: make(chan struct{}),
 		calls:   make(map[string]int),
+		era:     1,
+	}
+}
+
+// Era returns how often the platform was restored, plus 1.
+func (p *Platform) Era() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.era
+}
+
+// RecordWrites keeps all writes from now on, which Restore needs. Call it on an empty platform.
+func (p *Platform) RecordWrites() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.recorded = true
+}
+
+// Restore returns the platform to its state at an earlier time. Later writes are lost, and their revisions are given
+// out again.
+func (p *Platform) Restore(at time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.writes
+	for len(kept) > 0 && kept[len(kept)-1].at.After(at) {
+		kept = kept[:len(kept)-1]
+	}
+	p.era++
+	p.revision, p.writes = 0, nil
+	p.objects = make(map[string]map[string]connector.Object)
+	for _, w := range kept {
+		p.store(w.object)
+		p.writes[len(p.writes)-1].at = w.at
 	}
 }
 
@@ -148,6 +190,9 @@
 		var snapshot connector.Snapshot
 		var changed chan struct{}
 		read := func() error {
+			if after > p.revision {
+				return classifier.New(classifier.CodeAnswerGone, kind, "revision %d does not exist", after)
+			}
 			snapshot, changed = p.changesAfter(kind, after, true), p.changed
 			return nil
 		}
@@ -232,6 +277,9 @@
 		p.objects[object.Kind] = make(map[string]connector.Object)
 	}
 	p.objects[object.Kind][object.Name] = object
+	if p.recorded {
+		p.writes = append(p.writes, write{time.Now(), object})
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return p.revision
--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -34,6 +34,7 @@
 	}
 	c.checkRequests()
 	c.checkServers()
+	c.checkLimits()
 	c.checkActiveVersions()
 	c.checkRollbacks()
 	if m.seed%plannedSeedInterval == 0 {
@@ -115,6 +116,44 @@
 	}
 }
 
+// Bounds of the users' rule on stated limits: in a window, a server may get limitFactor times what its limit allows,
+// and limitExtra requests.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// checkLimits checks that servers get no more requests than the limits that they state, from stablePeriod on. The rule
+// exempts nodes with faults; this check does not.
+func (c *checker) checkLimits() {
+	starts := make(map[string][]time.Time) // by instance
+	for _, runs := range c.runsByID {
+		for _, r := range runs {
+			starts[r.Instance] = append(starts[r.Instance], r.At)
+		}
+	}
+	for _, limit := range c.ledger.Limits() {
+		from := limit.From.Add(stablePeriod)
+		inside := slices.DeleteFunc(slices.Clone(starts[limit.Instance]), func(at time.Time) bool {
+			return at.Before(from) || at.After(limit.Until)
+		})
+		slices.SortFunc(inside, time.Time.Compare)
+		allowed := int(limitFactor*float64(limit.PerSecond)*limitWindow.Seconds()) + limitExtra
+		first := 0
+		for i := range inside {
+			for inside[i].Sub(inside[first]) > limitWindow {
+				first++
+			}
+			if count := i - first + 1; count > allowed {
+				c.fail("%s got %d requests in %.0f s up to %.1f s, its limit of %d/s allows %d", limit.Instance, count,
+					limitWindow.Seconds(), c.elapsed(inside[i]), limit.PerSecond, allowed)
+				break
+			}
+		}
+	}
+}
+
 // disturbed reports whether a fault affected a node, or the platform, between two times.
 func (c *checker) disturbed(n *node, from, to time.Time) bool {
 	if from.Before(c.startTime.Add(startPhase - stablePeriod)) {
@@ -124,7 +163,7 @@
 		faultStart := c.startTime.Add(startPhase + f.offset)
 		faultEnd := faultStart.Add(f.duration)
 		switch f.kind {
-		case "change", "storm", "hup":
+		case "change", "storm", "hup", "limit app":
 			continue
 		case "term", "kill", "replace":
 			faultEnd = faultStart.Add(f.duration + gracePeriod + restartPause)
--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -64,6 +64,44 @@
 	return faults
 }
 
+// statedKinds are faults that servers and the platform state themselves: a limit of requests, and a restored copy. Each
+// seed with unplanned faults has one of each, drawn apart from the others, so that earlier seeds keep their faults.
+var statedKinds = []string{"limit app", "restore platform"}
+
+const (
+	// limitDuration is the shortest time of a limit: its bound holds after stablePeriod, for one limitWindow at least.
+	limitDuration = stablePeriod + limitWindow
+	// maxLimit bounds the random limit, in requests per second. A server gets about 30.
+	maxLimit = 20
+	// restoredAge is the shortest age of the copy from which the platform is restored.
+	restoredAge = 2 * time.Second
+)
+
+// drawStatedFaults returns one fault of each of statedKinds, or none for seeds with planned faults only.
+func drawStatedFaults(seed uint64, nodes int) []fault {
+	if seed%plannedSeedInterval == 0 {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, statedStream))
+	faults := make([]fault, 0, len(statedKinds))
+	for _, kind := range statedKinds {
+		f := fault{
+			kind: kind, node: random.IntN(nodes), offset: time.Duration(random.Int64N(int64(faultPhase))),
+			duration: time.Duration(random.Int64N(int64(faultDurationRange))),
+		}
+		if kind == "restore platform" {
+			f.node = allNodes
+		} else {
+			f.duration += limitDuration
+		}
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// statedStream is the stream of the random source of drawStatedFaults.
+const statedStream = 1 << 20
+
 // injections inject faults by kind and return when they are over. The node is nil for faults that affect all nodes.
 var injections = map[string]func(ctx context.Context, m *mesh, n *node, f fault){
 	"change": func(_ context.Context, m *mesh, _ *node, _ fault) { m.writeVersion() },
@@ -91,6 +129,15 @@
 		pause(ctx, f.duration)
 		n.process.Signal(syscall.SIGCONT)
 	},
+	"limit app": func(ctx context.Context, _ *mesh, n *node, f fault) {
+		n.currentServer().Limit(ctx, 1+int64(f.duration/time.Millisecond)%maxLimit, f.duration)
+	},
+	"restore platform": func(ctx context.Context, m *mesh, _ *node, f fault) {
+		if away := f.duration / 2; f.duration%2 == 0 {
+			m.injectPlatformFault(ctx, away, faker.Fault{Refuse: true})
+		}
+		m.restorePlatform(f.duration + restoredAge)
+	},
 	"hup":           func(_ context.Context, _ *mesh, n *node, _ fault) { n.process.Signal(syscall.SIGHUP) },
 	"reset peers":   func(_ context.Context, _ *mesh, n *node, _ fault) { n.peerLink.Cut() },
 	"silence peers": func(_ context.Context, _ *mesh, n *node, _ fault) { n.peerLink.Silence() },
--- a/tools/soak/mesh.go
+++ b/tools/soak/mesh.go
@@ -76,7 +76,8 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	m := &mesh{seed: seed, store: faker.NewPlatform(), random: rand.New(rand.NewPCG(seed, 1))}
-	m.faults = drawFaults(m.random, seed, o.nodes)
+	m.store.RecordWrites()
+	m.faults = append(drawFaults(m.random, seed, o.nodes), drawStatedFaults(seed, o.nodes)...)
 	if err := m.start(ctx, network, o, dir); err != nil {
 		return report{}, err
 	}
@@ -183,23 +184,39 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	v := version{number: uint64(len(m.versions) + 1), writeStarted: time.Now()}
-	value, err := imitator.EncodeConfig(v.number, host, []string{"a", "b"}, []imitator.Route{
+	if err := m.storeVersion(v.number); err != nil {
+		m.findings = append(m.findings, fmt.Sprintf("version %d was not written: %v", v.number, err))
+		return
+	}
+	v.acknowledged = time.Now()
+	m.versions = append(m.versions, v)
+}
+
+// restorePlatform returns the platform to its state some time ago, as after a drill of its operators. The operator then
+// writes the newest version again.
+func (m *mesh) restorePlatform(age time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.store.Restore(time.Now().Add(-age))
+	if err := m.storeVersion(uint64(len(m.versions))); err != nil {
+		m.findings = append(m.findings, fmt.Sprintf("version %d was not written again: %v", len(m.versions), err))
+	}
+}
+
+// storeVersion stores a version.
+func (m *mesh) storeVersion(number uint64) error {
+	value, err := imitator.EncodeConfig(number, host, []string{"a", "b"}, []imitator.Route{
 		{Prefix: "/safe/", Service: "a", Safe: true, Rank: 1},
 		{Prefix: "/unsafe/", Service: "a", Rank: 0},
 		{Prefix: "/order/", Service: "b", Rank: 0},
 		{Prefix: "/call/", Service: "a", Safe: true, Rank: 1},
 		{Prefix: "/inner/", Service: "b", Safe: true, Rank: 1},
-		{Prefix: probePrefix(v.number), Service: "a", Safe: true, Rank: 2},
+		{Prefix: probePrefix(number), Service: "a", Safe: true, Rank: 2},
 	})
-	if err == nil {
-		err = m.store.Store(connector.Object{Kind: "config", Name: "main", Value: value})
-	}
 	if err != nil {
-		m.findings = append(m.findings, fmt.Sprintf("version %d was not written: %v", v.number, err))
-		return
+		return err
 	}
-	v.acknowledged = time.Now()
-	m.versions = append(m.versions, v)
+	return m.store.Store(connector.Object{Kind: "config", Name: "main", Value: value})
 }
 
 // newestVersion returns the number of the newest version that the platform acknowledged.
