registrar: log only the begin and the end of a stated limit

An upstream may state another rate in each response, and each change wrote a line: the volume under load was not bounded. The rate in force stays in the line that node writes once a second and in upstream_limit_per_1000s.

--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -123,7 +123,7 @@
 	rest := text
 	for i := range numbers {
 		if i == len(numbers)-1 && rest == "" {
-			break
+			break // the capacity may be missing
 		}
 		word, after, _ := strings.Cut(rest, " ")
 		number, err := strconv.Atoi(word)
--- a/internal/registrar/observe.go
+++ b/internal/registrar/observe.go
@@ -26,10 +26,10 @@
 
 // recordLimit records a limit of the current process. The caller holds the lock.
 func (r *Registrar) recordLimit(limit admitter.Limit) {
-	if r.state.Limit != limit {
-		r.options.Logger.Info("upstream states another limit", zap.String("instance", r.state.ID),
+	if r.state.Limit.Stated != limit.Stated { // an upstream may state another rate in each response
+		r.options.Logger.Info("limit of the upstream begins or ends", zap.String("instance", r.state.ID),
 			zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate),
-			zap.Bool("limited_before", r.state.Limit.Stated), zap.Float64("limit_before", r.state.Limit.Rate))
+			zap.Float64("limit_before", r.state.Limit.Rate))
 	}
 	r.state.Limit, r.state.Responded = limit, true
 	r.publish()
--- a/internal/runner/observer.go
+++ b/internal/runner/observer.go
@@ -30,8 +30,10 @@
 	if o.limit == limit {
 		return
 	}
-	o.logger.Info("limit changed", zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate),
-		zap.Bool("limited_before", o.limit.Stated), zap.Float64("limit_before", o.limit.Rate))
+	if o.limit.Stated != limit.Stated { // an upstream may state another rate in each response
+		o.logger.Info("limit of the upstream begins or ends", zap.Bool("limited", limit.Stated),
+			zap.Float64("limit", limit.Rate), zap.Float64("limit_before", o.limit.Rate))
+	}
 	o.limit = limit
 	o.setLimit(limit)
 }
