--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -158,9 +159,9 @@
 // out as many revisions again: the watch goes on from a revision of the lost history and gets no event.
 func TestChangeAfterARestoredCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		restored := false
+		var restored atomic.Bool
 		era := func() uint64 {
-			if restored {
+			if restored.Load() {
 				return 2
 			}
 			return 1
@@ -183,7 +184,7 @@
 		go func() { done <- s.Run(ctx) }()
 		_ = connector.Sleep(t.Context(), newTiming(0).watchWait+1)
 		before := s.Version()
-		restored = true
+		restored.Store(true)
 		_ = connector.Sleep(t.Context(), defaultApplyTime)
 		if diff := cmp.Diff([]uint64{5, 6}, []uint64{before, s.Version()}); diff != "" {
 			t.Errorf("versions before and after differ (-want +got):\n%s", diff)
