--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -178,7 +178,7 @@
 
 // announce updates the node's membership entry and queue to the state of its upstream.
 func (n *Hosted) announce(state registrar.State) {
-	n.queue.SetLimit(state.Limit) // before more slots start what waits
+	n.queue.SetLimit(state.Limit) // first, so that added slots start no waiting request above the limit
 	slots := state.Slots
 	if !state.Responded {
 		slots = min(slots, unknownLimitSlots)
--- a/internal/subscriber/platform.go
+++ b/internal/subscriber/platform.go
@@ -30,7 +30,8 @@
 		era := s.era.Load()
 		revision, err = s.watch(ctx, revision)
 		if err == nil && s.era.Load() != era {
-			// The revision may belong to the lost history: changes up to the same number came without events.
+			// The revision belongs to the lost history. Changes since then reuse revisions up to it, and a watch from it does
+			// not report them.
 			revision, err = s.list(ctx)
 		}
 	}
