--- a/tools/soak/mesh.go
+++ b/tools/soak/mesh.go
@@ -254,7 +254,7 @@
 	}
 }
 
-// probeVersions probes which version is active on the node until ctx ends.
+// probeVersions probes which version is active on the node until ctx ends, then waits for the probe in flight.
 func (m *mesh) probeVersions(ctx context.Context, n *node) {
 	for i := 0; ctx.Err() == nil; i++ {
 		pause(ctx, probeInterval)
@@ -262,7 +262,7 @@
 		if i%2 == 1 && number > 1 {
 			number--
 		}
-		n.client.Try(ctx, imitator.Request{
+		n.client.Try(context.WithoutCancel(ctx), imitator.Request{
 			ID: fmt.Sprintf("%s-probe-%d", n.name, i), Path: probePrefix(number) + "x", Safe: true, Wait: clientTimeout / 2,
 		})
 	}
