relayer: watch again from the start after a failure or in another era

What operators would see: nodes that are not hosted keep their version although a newer one was accepted, after the platform came back from an older copy.

Cause: a relay went on watching from the revision that it had seen last. The platform refuses that revision while it lacks it (the relay then repeats the same call), and reports no change below it once it has been given out again.

Evidence: TestVersionAfterARestoredCopy, on the code before: watch is refused: version is not active after 3000 ms revision is given out again: version is not active after 3000 ms

Change: a failed watch starts again at the current head, and so does one whose reply is of another era. Versions that were distributed are not distributed again. The stand-in of the platform states its era, which TestClientKeepsConditionsOverHTTP now expects over HTTP (it expected none before).

Result: both cases pass; 3 s is the stated time of a change.

--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -57,12 +57,12 @@
 	expect(t, "delete", classifier.CodeOK, client.Delete(ctx, object.Kind, object.Name, updated))
 	listed, err := client.List(ctx, object.Kind)
 	expect(t, "list", classifier.CodeOK, err)
-	if diff := cmp.Diff(connector.Snapshot{Revision: 3, Objects: []connector.Object{}}, listed); diff != "" {
+	if diff := cmp.Diff(connector.Snapshot{Era: 1, Revision: 3, Objects: []connector.Object{}}, listed); diff != "" {
 		t.Errorf("list differs (-want +got):\n%s", diff)
 	}
 	watched, err := client.Watch(ctx, object.Kind, updated, timekeeper.Minute)
 	expect(t, "watch", classifier.CodeOK, err)
-	want := connector.Snapshot{Revision: 3, Objects: []connector.Object{
+	want := connector.Snapshot{Era: 1, Revision: 3, Objects: []connector.Object{
 		{Kind: object.Kind, Name: object.Name, Revision: 3, Deleted: true},
 	}}
 	if diff := cmp.Diff(want, watched); diff != "" {
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -286,7 +286,7 @@
 }
 
 func (p *Platform) changesAfter(kind string, after uint64, includeDeleted bool) connector.Snapshot {
-	snapshot := connector.Snapshot{Revision: p.revision, Objects: []connector.Object{}}
+	snapshot := connector.Snapshot{Era: p.era, Revision: p.revision, Objects: []connector.Object{}}
 	for _, object := range p.objects[kind] {
 		if object.Revision > after && (includeDeleted || !object.Deleted) {
 			snapshot.Objects = append(snapshot.Objects, object)
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -100,6 +100,49 @@
 	})
 }
 
+// Guards against relays that miss a version after the platform came back from an older copy. They watch from a revision
+// of the lost history, which the platform refuses, or has given out again if the relays were cut off meanwhile.
+func TestVersionAfterARestoredCopy(t *testing.T) {
+	for name, cut := range map[string]bool{"watch is refused": false, "revision is given out again": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { restoreAndPublish(t, cut) })
+		})
+	}
+}
+
+// restoreAndPublish publishes two versions, restores the platform to its state before the second, and expects the next
+// version on all nodes. With cut, the nodes reach the platform again only after it has given out the lost revisions.
+func restoreAndPublish(t *testing.T, cut bool) {
+	t.Helper()
+	m := newMesh(t, 1, 5)
+	m.platform.RecordWrites()
+	m.startAll()
+	var beforeSecond time.Time
+	for _, accounts := range []int{1, 5} {
+		beforeSecond = time.Now()
+		if _, ok := m.await(m.publish(accounts), 5*timekeeper.Second); !ok {
+			t.Fatal("version is not active before the loss")
+		}
+		<-time.After(10 * time.Second)
+	}
+	for _, p := range m.nodes {
+		p.setPlatformCut(cut)
+	}
+	m.platform.Restore(beforeSecond.Add(-time.Second))
+	version := m.publish(1)
+	for range 10 {
+		if err := m.platform.Store(connector.Object{Kind: connector.KindAudit, Name: "later"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range m.nodes {
+		p.setPlatformCut(false)
+	}
+	if elapsed, ok := m.await(version, 3*timekeeper.Second); !ok {
+		t.Errorf("version is not active after %d ms", elapsed)
+	}
+}
+
 // Guards against platform calls that grow with the number of nodes in a data centre. They do in a naive design, in
 // which each node watches the sources and reads them itself.
 func TestPlatformCallsDoNotGrowWithNodes(t *testing.T) {
--- a/internal/relayer/watch.go
+++ b/internal/relayer/watch.go
@@ -10,35 +10,56 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/publisher"
 )
 
-// watch follows the head on the platform while this node is a relay.
+// position is where a watch of the head continues. Its zero value is before the first change.
+type position struct {
+	era      uint64 // of the platform
+	revision uint64
+	version  uint64 // highest version that was prepared from a head
+}
+
+// restart returns the position before the first change. Versions prepared so far are not distributed again.
+func (p position) restart() position {
+	return position{version: p.version}
+}
+
+// watch follows the head on the platform while this node is a relay. After a failure it starts again with the current
+// head: the platform may have come back from an older copy, which lacks the revisions seen so far.
 func (r *Relayer) watch(ctx context.Context) {
 	backoff := r.backoff(maxWatchBackoff)
-	var revision uint64
+	var at position
 	for ctx.Err() == nil {
 		if !r.options.Members.IsRelay() {
 			_ = connector.Sleep(ctx, pollInterval)
 			continue
 		}
-		seen, err := r.watchOnce(ctx, revision)
+		next, err := r.watchOnce(ctx, at)
 		if err != nil {
 			r.options.Logger.Debug("relayer: watch failed", zap.Error(err))
+			at = at.restart()
 			_ = backoff.Wait(ctx)
 			continue
 		}
 		backoff.Reset()
-		revision = max(revision, seen)
+		at = next
 	}
 }
 
-// watchOnce waits for a change of the head after a revision, prepares the new version and returns the revision seen.
+// watchOnce waits for a change of the head after a position, prepares the new version and returns the next position.
 // The deadline is slightly longer than the wait, so that a watch over a dead connection ends.
-func (r *Relayer) watchOnce(ctx context.Context, after uint64) (uint64, error) {
+func (r *Relayer) watchOnce(ctx context.Context, at position) (position, error) {
 	bounded, cancel := context.WithTimeout(ctx, (watchWait + watchMargin).Duration())
 	defer cancel()
-	snapshot, err := r.options.Platform.Watch(bounded, connector.KindHead, after, watchWait)
+	snapshot, err := r.options.Platform.Watch(bounded, connector.KindHead, at.revision, watchWait)
 	if err != nil {
-		return 0, err
+		return position{}, err
+	}
+	if at.revision > 0 && snapshot.Era != at.era {
+		r.options.Logger.Info("relayer: platform states another era", zap.Uint64("era", snapshot.Era),
+			zap.Uint64("era_before", at.era), zap.Uint64("revision", at.revision))
+		return at.restart(), nil
 	}
+	next := at
+	next.era = snapshot.Era
 	for _, object := range snapshot.Objects {
 		if object.Name != publisher.HeadName || object.Deleted {
 			continue
@@ -46,14 +67,17 @@
 		head, err := publisher.DecodeHead(object.Value)
 		if err != nil {
 			r.options.Logger.Warn("relayer: head refused", zap.Error(err))
-			return max(after, object.Revision), nil
+			next.revision = max(next.revision, object.Revision)
+			return next, nil
 		}
-		if err := r.prepareHead(ctx, &head, false); err != nil {
-			return 0, err // the next watch returns the same head, because a section could not be fetched
+		if head.Version > at.version {
+			if err := r.prepareHead(ctx, &head, false); err != nil {
+				return position{}, err // the next watch returns the same head, because a section could not be fetched
+			}
 		}
-		after = max(after, object.Revision)
+		next.revision, next.version = max(next.revision, object.Revision), max(next.version, head.Version)
 	}
-	return after, nil
+	return next, nil
 }
 
 // prepareHead prepares the version of a head and, on a relay, starts to distribute it. With askFirst, members are asked
