publisher: a new version is above those that nodes have

What operators would see: an accepted change that no node puts in force, after the platform came back from an older copy: the head went back, its next version number was given out a second time, and nodes ignore versions that are not above their own.

Evidence: TestVersionAfterARestoredCopy of this package, on the code before: version 2 with digest, the nodes have 3 with digest

Change: the version is one above the higher of the head's and of those that the membership table reports. Where the platform loses nothing these are the same, since no node has a version before its head is written.

Not reproduced: a lease holder that goes on watching the sources from a lost revision.

--- a/internal/publisher/commit.go
+++ b/internal/publisher/commit.go
@@ -25,7 +25,7 @@
 func (c *cycle) commit() action {
 	next := c.head
 	if c.createsVersion() {
-		next.Format, next.Version = HeadFormat, c.head.Version+1
+		next.Format, next.Version = HeadFormat, max(c.head.Version, c.newest)+1
 		next.Manifest, next.Digest, next.Published = c.next.Manifest, c.next.Digest, c.next.Published
 		next.Author = c.plan.Author
 		next.Base, next.Delta = c.delta(next.Version)
--- a/internal/publisher/cycle.go
+++ b/internal/publisher/cycle.go
@@ -35,6 +35,7 @@
 	disabled safeguards
 	store    *store
 	active   *compiler.View // active view of this node, or nil
+	newest   uint64         // highest version that any node is known to have
 
 	phase             phase
 	restarts          int
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -18,16 +18,19 @@
 	Record(ctx context.Context, entry auditor.Entry)
 }
 
-// Options holds the dependencies of a Publisher. Log, Audit, Active and Prune may be nil.
+// Options holds the dependencies of a Publisher. Log, Audit, Active, Newest and Prune may be nil.
 type Options struct {
 	Platform connector.Platform
 	Clock    timekeeper.Clock
 	Random   *rand.Rand // not shared with other components
 	Log      *zap.Logger
 	Audit    Recorder
-	Node     string                      // name of this node, unique among publishers; stored in the lease
-	Active   func() *compiler.View       // active view of this node; its sections need not be fetched for a delta
-	Prune    func(context.Context) error // called about hourly by the lease holder
+	Node     string                // name of this node, unique among publishers; stored in the lease
+	Active   func() *compiler.View // active view of this node; its sections need not be fetched for a delta
+	// Newest returns the highest version that any node is known to have. It exceeds that of the head after the platform
+	// came back from an older copy. Nodes ignore versions that are not above their own.
+	Newest func() uint64
+	Prune  func(context.Context) error // called about hourly by the lease holder
 }
 
 // Publisher publishes configuration versions. Any number of nodes may publish concurrently.
@@ -80,6 +83,9 @@
 	if p.options.Active != nil {
 		c.active = p.options.Active()
 	}
+	if p.options.Newest != nil {
+		c.newest = p.options.Newest()
+	}
 	var reply event = started{}
 	for {
 		request := c.step(p.options.Clock.Now(), reply)
--- a/internal/publisher/submit_test.go
+++ b/internal/publisher/submit_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -77,6 +78,35 @@
 	return 0
 }
 
+// Guards against an accepted change that no node activates, because the platform came back from an older copy and its
+// version is not above those that the nodes have.
+func TestVersionAfterARestoredCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := faker.NewPlatform()
+		platform.RecordWrites()
+		p, _ := testPublisher(platform, "node-1")
+		first := mustSubmit(t, p, "op-1", Edit{Name: "template.shop", Value: testTemplate},
+			Edit{Name: "account.a", Value: testAccount("a", "slots: 3")})
+		sleep(t, timekeeper.Second)
+		copied := time.Now()
+		sleep(t, timekeeper.Second)
+		lost := first
+		for _, slots := range []string{"4", "5"} {
+			lost = mustSubmit(t, p, "op-lost-"+slots, Edit{
+				Name: "account.a", Value: testAccount("a", "slots: "+slots), Base: revisionOf(t, p, "account.a"),
+			})
+		}
+		p.options.Newest = func() uint64 { return lost.Version } // the nodes have activated it
+		platform.Restore(copied)
+		again := mustSubmit(t, p, "op-again",
+			Edit{Name: "account.a", Value: testAccount("a", "slots: 5"), Base: revisionOf(t, p, "account.a")})
+		if again.Version <= lost.Version || again.Digest != lost.Digest {
+			t.Errorf("version %d with digest %.8s, the nodes have %d with digest %.8s",
+				again.Version, again.Digest, lost.Version, lost.Digest)
+		}
+	})
+}
+
 // Guards against an apply that is reported accepted without being published, folded into the sources and audited.
 func TestSubmitPublishesAndFolds(t *testing.T) {
 	platform := faker.NewPlatform()
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -140,10 +140,21 @@
 	})
 	n.Publisher = publisher.New(publisher.Options{
 		Platform: n.platform, Clock: n.dependencies.Clock, Random: newRandom(), Log: n.loggerFor("publisher"),
-		Audit: n.auditor, Node: n.settings.Name, Prune: n.auditor.Prune,
+		Audit: n.auditor, Node: n.settings.Name, Newest: n.newestVersion, Prune: n.auditor.Prune,
 	})
 }
 
+// newestVersion returns the highest configuration version that this node knows of on any node.
+func (n *Node) newestVersion() uint64 {
+	newest := n.Follower.Known()
+	for _, zone := range n.Tracker.Zones() {
+		for _, member := range n.Tracker.Zone(zone) {
+			newest = max(newest, member.Known)
+		}
+	}
+	return newest
+}
+
 // addRequests creates the parts that handle requests.
 func (n *Node) addRequests() {
 	incarnation := n.Tracker.Self().Incarnation
