soak: servers that state their departure in responses only

The soak had departures that heartbeats announce, but none that only the responses state.

A server of the stand-in can now leave with its heartbeats unchanged. Each seed with unplanned faults has one such departure, drawn apart from the other faults. The new check is the users' rule without its exemptions: no request that a client sent later than drainTimeout after the same node passed on such a response runs on that server.

--- a/tools/soak/check.go
+++ b/tools/soak/check.go
@@ -35,6 +35,7 @@
 	c.checkRequests()
 	c.checkServers()
 	c.checkLimits()
+	c.checkDepartures()
 	c.checkActiveVersions()
 	c.checkRollbacks()
 	if m.seed%plannedSeedInterval == 0 {
@@ -154,6 +155,30 @@
 	}
 }
 
+// checkDepartures checks that no server gets a request that a client sent later than drainTimeout after the same node
+// passed on a response in which the server states that it is leaving. The rule exempts nodes with faults; this check
+// does not.
+func (c *checker) checkDepartures() {
+	type statement struct{ node, instance string }
+	passedOn := make(map[statement]time.Time) // the first time
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		s := statement{a.Node, a.Leaving}
+		if at, ok := passedOn[s]; a.Leaving != "" && (!ok || a.Ended.Before(at)) {
+			passedOn[s] = a.Ended
+		}
+	}
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		for _, r := range c.runsByID[a.ID] {
+			if at, ok := passedOn[statement{a.Node, r.Instance}]; ok && a.Sent.Sub(at) > drainTimeout {
+				c.fail("%s at %.3f s ran on %s, %.1f s after %s passed on that it is leaving", a.ID, c.elapsed(a.Sent),
+					r.Instance, a.Sent.Sub(at).Seconds(), a.Node)
+			}
+		}
+	}
+}
+
 // disturbed reports whether a fault affected a node, or the platform, between two times.
 func (c *checker) disturbed(n *node, from, to time.Time) bool {
 	if from.Before(c.startTime.Add(startPhase - stablePeriod)) {
--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -64,15 +64,18 @@
 	return faults
 }
 
-// statedKinds are faults that servers and the platform state themselves: a limit of requests, and a restored copy. Each
-// seed with unplanned faults has one of each, drawn apart from the others, so that earlier seeds keep their faults.
-var statedKinds = []string{"limit app", "restore platform"}
+// statedKinds are faults that servers and the platform state themselves: a limit of requests, a restored copy, and a
+// departure that only responses state. Each seed with unplanned faults has one of each, drawn apart from the others, so
+// that earlier seeds keep their faults.
+var statedKinds = []string{"limit app", "restore platform", "leave app"}
 
 const (
 	// limitDuration is the shortest time of a limit: its bound holds after stablePeriod, for one limitWindow at least.
 	limitDuration = stablePeriod + limitWindow
 	// maxLimit bounds the random limit, in requests per second. A server gets about 30.
 	maxLimit = 20
+	// leaveDuration is the shortest time from the first response that states a departure to the end of the server.
+	leaveDuration = 2 * drainTimeout
 	// restoredAge is the shortest age of the copy from which the platform is restored.
 	restoredAge = 2 * time.Second
 )
@@ -89,10 +92,13 @@
 			kind: kind, node: random.IntN(nodes), offset: time.Duration(random.Int64N(int64(faultPhase))),
 			duration: time.Duration(random.Int64N(int64(faultDurationRange))),
 		}
-		if kind == "restore platform" {
-			f.node = allNodes
-		} else {
+		switch kind {
+		case "limit app":
 			f.duration += limitDuration
+		case "restore platform":
+			f.node = allNodes
+		case "leave app":
+			f.duration += leaveDuration
 		}
 		faults = append(faults, f)
 	}
@@ -153,7 +159,7 @@
 	"silence app": func(_ context.Context, _ *mesh, n *node, _ fault) { n.appLink.Silence() },
 	"reset app":   func(_ context.Context, _ *mesh, n *node, _ fault) { n.appLink.Cut() },
 	"replace":     injectServerFault, "crash app": injectServerFault,
-	"lose answers": injectServerFault, "fail runs": injectServerFault,
+	"lose answers": injectServerFault, "fail runs": injectServerFault, "leave app": injectServerFault,
 }
 
 // inject injects a fault and returns when it is over.
@@ -165,8 +171,8 @@
 	injections[f.kind](ctx, m, n, f)
 }
 
-// injectServerFault replaces or crashes the server beside a node, or makes its runs lose their responses or end with
-// status 500. It returns when the fault is over.
+// injectServerFault replaces or crashes the server beside a node, lets it leave, or makes its runs lose their responses
+// or end with status 500. It returns when the fault is over.
 func injectServerFault(ctx context.Context, m *mesh, n *node, f fault) {
 	n.serverMutex.Lock() // one fault per server at a time
 	defer n.serverMutex.Unlock()
@@ -179,6 +185,9 @@
 		server.Crash()
 		pause(ctx, f.duration)
 		m.startServer(ctx, n)
+	case "leave app":
+		server.Leave(ctx, f.duration)
+		m.startServer(ctx, n)
 	case "lose answers":
 		server.Lose(true)
 		pause(ctx, f.duration)
