admitter: report the starts of a whole second

What operators saw: "node: upstream is limited" and the metric queue_started_last_second showed 0.95 of a limit while requests waited, as if nodes left a part of it unused.

Cause: the window has ten buckets of 100 ms, of which the newest is not over. Its sum covers 900 to 1,000 ms and was reported as that of a second.

Evidence: TestLimitIsUsedUp keeps a queue busy at 17.3 requests a second for 20 s. All that the limit allows starts, and 16.44 a second were reported.

Change: the reported rate is scaled to a whole second. The sums that admission uses are as before.

--- a/internal/admitter/pacer_test.go
+++ b/internal/admitter/pacer_test.go
@@ -1,8 +1,13 @@
 package admitter
 
 import (
+	"context"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -64,6 +69,52 @@
 	})
 }
 
+// Guards against a limit that is not used up while requests wait, and against a reported rate that says so although it
+// is.
+func TestLimitIsUsedUp(t *testing.T) {
+	const (
+		rate     = 17.3 // starts that do not fall on the same part of each bucket
+		workers  = 12
+		duration = 20 * timekeeper.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		q := New(Options{Clock: timekeeper.System(), Slots: 6})
+		q.SetLimit(Limit{Stated: true, Rate: rate})
+		ctx, cancel := context.WithTimeout(t.Context(), duration.Duration())
+		defer cancel()
+		var starts atomic.Int64
+		var group sync.WaitGroup
+		for range workers {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					deadline := timekeeper.System().Now() + timekeeper.Minute
+					release, err := q.Admit(ctx, Work{Account: "a", Call: "c", Deadline: deadline})
+					if err != nil {
+						return
+					}
+					starts.Add(1)
+					<-time.After(100 * time.Millisecond)
+					release()
+				}
+			})
+		}
+		<-time.After(2 * time.Second)
+		reported, samples := 0.0, 0.0
+		for ctx.Err() == nil {
+			reported += float64(q.Started())
+			samples++
+			<-time.After(37 * time.Millisecond)
+		}
+		group.Wait()
+		if want := int64(rate * float64(duration) / float64(timekeeper.Second)); starts.Load() < want-1 {
+			t.Errorf("%d requests started in %d ms, the limit allows %d", starts.Load(), duration, want)
+		}
+		if mean := reported / samples; math.Abs(mean-rate) > rate/100 {
+			t.Errorf("%.2f starts per second were reported at a limit of %.1f that was used up", mean, rate)
+		}
+	})
+}
+
 // Guards against a request that waits at a limit of 0 until its deadline, and against one that starts there.
 func TestLimitOfZeroRefusesAtOnce(t *testing.T) {
 	m := NewMachine(4, 64)
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -78,11 +78,11 @@
 	return *q.load.Load()
 }
 
-// Started returns the number of requests that started in the last second.
+// Started returns the number of requests per second that started in the last second.
 func (q *Queue) Started() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.machine.starts.sum(q.clock.Now())
+	return q.machine.starts.perSecond(q.clock.Now())
 }
 
 // SetSlots changes the number of slots. Running requests continue even if there are more of them than slots.
--- a/internal/admitter/window.go
+++ b/internal/admitter/window.go
@@ -1,13 +1,18 @@
 package admitter
 
-import "github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+import (
+	"math"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+)
 
 const (
 	windowBuckets  = 10
 	bucketDuration = timekeeper.Second / windowBuckets
 )
 
-// window is a sliding sum over the last second, in buckets of 100 ms.
+// window is a sliding sum over the last second, in buckets of 100 ms. The newest bucket is not over, so the sum covers
+// 900 to 1000 ms.
 type window struct {
 	sums   [windowBuckets]int
 	total  int
@@ -20,12 +25,18 @@
 	w.total += amount
 }
 
-// sum returns the total of the last second.
+// sum returns the total of the buckets.
 func (w *window) sum(now timekeeper.Millis) int {
 	w.advance(now)
 	return w.total
 }
 
+// perSecond returns the sum, scaled to a whole second.
+func (w *window) perSecond(now timekeeper.Millis) int {
+	covered := (windowBuckets-1)*bucketDuration + now%bucketDuration + 1
+	return int(math.Round(float64(w.sum(now)) * float64(timekeeper.Second) / float64(covered)))
+}
+
 // advance drops the buckets that are older than a second.
 func (w *window) advance(now timekeeper.Millis) {
 	current := now / bucketDuration
