registrar: a response made before a limit began does not end it

What upstreams saw: at the begin of a limit, the host node took it as ended for some ms. In that time all that waits may start at once, up to the slots of the upstream. With an upstream that writes its headers when a run begins, the same would happen at each end of an earlier run.

Cause: each response replaced the limit in force, but responses arrive in another order than the upstream made them. One without a limit that was made before the limit began ended it until the next response. Class of fault: a statement is taken as newer than another since it was read later.

TestLimitOutlivesEarlierResponses and TestObserver fail with the check of the order off.

Change: the end of a limit counts only in the response to a request that was sent when the limit was known. Such a response was made after the limit began. A limit, and a lower or higher one, counts at once, so that the node is on the safe side.

--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // Limit is the number of requests per second that an upstream accepts from all nodes together. The zero value is no
@@ -14,6 +15,13 @@
 	Rate   float64 // requests per second; 0 allows none
 }
 
+// Replaces reports whether a response that states l, to a request sent at a time, replaces the current limit, which is
+// known since a time. Responses may arrive in another order than the upstream made them, so the end of a limit must be
+// stated to a request that was sent when the limit was known.
+func (l Limit) Replaces(current Limit, since, sent timekeeper.Millis) bool {
+	return l.Stated || !current.Stated || sent >= since
+}
+
 // ParseLimit reads a limit as a decimal number of requests per second. An empty text is no limit. It fails with code
 // 403 for other texts that are not a finite number of at least 0.
 func ParseLimit(text string) (Limit, error) {
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -54,9 +54,9 @@
 }
 
 // Observer learns what the upstream states about itself in its responses; *registrar.Registrar satisfies it. The
-// instance is the id of the process that responded.
+// instance is the id of the process that responded, sent the time at which it was sent the request.
 type Observer interface {
-	ObserveLimit(instance string, limit admitter.Limit)
+	ObserveLimit(instance string, limit admitter.Limit, sent timekeeper.Millis)
 	ObserveLeaving(instance string)
 }
 
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -10,6 +10,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // upstreamResponse is the upstream's response: complete in body, or continued in stream if it is longer than
@@ -29,6 +30,7 @@
 	if err != nil {
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
+	sent := h.Clock.Now()
 	response, err := h.upstreamTransport.RoundTrip(request)
 	if err == nil || !isDialError(err) {
 		x.writer.Header()[headerReached] = []string{"1"}
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, upstreamFailure(ctx, j, err)
 	}
-	h.observe(x, response)
+	h.observe(x, response, sent)
 	if response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun) {
 		_ = response.Body.Close()
 		failure := classifier.Refuse(classifier.CodeOverload, j.Call, "the upstream shed the request")
@@ -54,9 +56,9 @@
 	return a, nil
 }
 
-// observe reports what the upstream states about itself. A response of another process than the expected one is
-// ignored, and an unreadable limit leaves the known one in force.
-func (h *Host) observe(x *hostAttempt, response *http.Response) {
+// observe reports what the upstream states about itself in the response to a request sent at a time. A response of
+// another process than the expected one is ignored, and an unreadable limit leaves the known one in force.
+func (h *Host) observe(x *hostAttempt, response *http.Response, sent timekeeper.Millis) {
 	if h.Observer == nil || response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
@@ -68,7 +70,7 @@
 		h.logUnreadableLimit(x, err)
 		return
 	}
-	h.Observer.ObserveLimit(x.instance, limit)
+	h.Observer.ObserveLimit(x.instance, limit, sent)
 }
 
 // readBody reads the whole body, or its first part if it is longer than maxBufferedBytes.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -33,8 +33,9 @@
 	Logger   *zap.Logger
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error) // nil for TCP
 	Changed  func(alive bool)                                                     // called when Alive changes; may be nil
-	// Responded is called with the header of each response to a probe; may be nil.
-	Responded func(header http.Header)
+	// Responded is called with the header of each response to a probe and the time since the probe was sent, in ms; may
+	// be nil.
+	Responded func(header http.Header, elapsed timekeeper.Millis)
 }
 
 // Prober keeps one open connection to the upstream. When the upstream's process ends, the kernel closes that
@@ -129,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	response, err := p.client.Do(request)
 	if err != nil {
 		return err
@@ -137,7 +139,7 @@
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes))
 	p.closeAnnounced.Store(response.Close)
 	if p.options.Responded != nil {
-		p.options.Responded(response.Header)
+		p.options.Responded(response.Header, timekeeper.FromDuration(time.Since(sent)))
 	}
 	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
 		return errors.New(response.Status)
--- a/internal/registrar/health.go
+++ b/internal/registrar/health.go
@@ -51,6 +51,7 @@
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
 	defer cancel()
+	sent := r.options.Clock.Now()
 	health, err := r.options.Health(checkCtx)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -60,7 +61,7 @@
 		return
 	}
 	if err == nil && health.ID == id || health.Limit.Stated {
-		r.recordLimit(health.Limit)
+		r.recordLimit(health.Limit, sent)
 	}
 	if health.Leaving {
 		r.recordLeaving()
--- a/internal/registrar/observe.go
+++ b/internal/registrar/observe.go
@@ -4,29 +4,37 @@
 	"go.uber.org/zap"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// ObserveLimit records the limit that the upstream stated in a response, or that it stated none. A response of another
-// process than the current one is ignored.
-func (r *Registrar) ObserveLimit(instance string, limit admitter.Limit) {
+// ObserveLimit records the limit that the upstream stated in the response to a request sent at a time, or that it
+// stated none. A response of another process than the current one is ignored.
+func (r *Registrar) ObserveLimit(instance string, limit admitter.Limit, sent timekeeper.Millis) {
 	current := r.current.Load()
 	if current.ID != instance {
 		return
 	}
-	r.lastResponse.Store(int64(r.options.Clock.Now()))
 	if current.Responded && current.Limit == limit {
+		r.lastResponse.Store(int64(r.options.Clock.Now()))
 		return
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.state.ID == instance {
-		r.recordLimit(limit)
+		r.recordLimit(limit, sent)
 	}
 }
 
-// recordLimit records a limit of the current process. The caller holds the lock.
-func (r *Registrar) recordLimit(limit admitter.Limit) {
+// recordLimit records a limit of the current process, stated in the response to a request sent at a time. The caller
+// holds the lock.
+func (r *Registrar) recordLimit(limit admitter.Limit, sent timekeeper.Millis) {
+	if !limit.Replaces(r.state.Limit, r.limitedSince, sent) {
+		return
+	}
+	now := r.options.Clock.Now()
+	r.lastResponse.Store(int64(now))
 	if r.state.Limit.Stated != limit.Stated { // an upstream may state another rate in each response
+		r.limitedSince = now
 		r.options.Logger.Info("limit of the upstream begins or ends", zap.String("instance", r.state.ID),
 			zap.Bool("limited", limit.Stated), zap.Float64("limit", limit.Rate),
 			zap.Float64("limit_before", r.state.Limit.Rate))
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -46,7 +46,8 @@
 	lastHeartbeat     timekeeper.Millis // time of the last accepted heartbeat
 	current           atomic.Pointer[State]
 	restarts          atomic.Uint64
-	lastResponse      atomic.Int64 // time of the last response to a request, in ms
+	lastResponse      atomic.Int64      // time of the last response that showed the limit, in ms
+	limitedSince      timekeeper.Millis // time from which the node knows the limit in force
 }
 
 // New returns a registrar without an upstream.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -297,7 +297,7 @@
 				t.Fatal(err)
 			}
 		}
-		r.ObserveLimit("i-1", limit(0))
+		r.ObserveLimit("i-1", limit(0), clock.Clock().Now())
 		clock.Advance(limitTimeout - 1)
 		if r.Verify(t.Context()); checks != 0 {
 			t.Errorf("%s: health check although a response is recent", name)
@@ -315,17 +315,49 @@
 	return admitter.Limit{Stated: true, Rate: rate}
 }
 
+// Guards against a limit that ends, and starts all that waits, with a response which the upstream made before the limit
+// began: responses may arrive in another order than they were made.
+func TestLimitOutlivesEarlierResponses(t *testing.T) {
+	r, clock := newRegistrar()
+	if err := r.Heartbeat(heartbeat(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	begin := clock.Clock().Now()
+	steps := []struct {
+		name  string
+		after timekeeper.Millis // from the begin to the request
+		limit admitter.Limit    // in the response, which comes at once
+		want  admitter.Limit
+	}{
+		{"the limit begins", 10, limit(9), limit(9)},
+		{"a response made before", 5, admitter.Limit{}, limit(9)},
+		{"a lower limit", 8, limit(4), limit(4)},
+		{"a response made before both", 0, admitter.Limit{}, limit(4)},
+		{"a higher limit", 12, limit(7), limit(7)},
+		{"the limit ends", 20, admitter.Limit{}, admitter.Limit{}},
+		{"a response made before the end", 15, limit(7), limit(7)},
+		{"the next response", 75, admitter.Limit{}, admitter.Limit{}},
+	}
+	for _, step := range steps {
+		clock.Advance(10)
+		r.ObserveLimit("i-1", step.limit, begin+step.after)
+		if diff := cmp.Diff(step.want, r.Current().Limit); diff != "" {
+			t.Errorf("%s: limit differs (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
 // Guards against a limit of one process of the upstream that is applied to the next one.
 func TestLimitEndsWithTheProcess(t *testing.T) {
-	r, _ := newRegistrar()
+	r, clock := newRegistrar()
 	if err := r.Heartbeat(heartbeat(1, 1)); err != nil {
 		t.Fatal(err)
 	}
-	r.ObserveLimit("i-0", limit(9))
+	r.ObserveLimit("i-0", limit(9), clock.Clock().Now())
 	if r.Current().Responded || r.Current().Limit.Stated {
 		t.Error("a response of another process counts")
 	}
-	r.ObserveLimit("i-1", limit(9))
+	r.ObserveLimit("i-1", limit(9), clock.Clock().Now())
 	if err := r.Heartbeat(heartbeat(2, 1)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -176,7 +176,8 @@
 	})
 	n.queue = admitter.New(admitter.Options{Clock: n.dependencies.Clock, Slots: max(n.settings.Slots, 1)})
 	n.observer = &observer{
-		setLimit: n.queue.SetLimit, restarts: func() uint64 { return n.prober.Restarts() }, logger: n.loggerFor("observer"),
+		setLimit: n.queue.SetLimit, restarts: func() uint64 { return n.prober.Restarts() }, clock: n.dependencies.Clock,
+		logger: n.loggerFor("observer"),
 	}
 	n.prober = prober.New(prober.Options{
 		URL: "http://" + n.settings.Upstream.Address + n.settings.Upstream.Probe, Logger: n.loggerFor("prober"),
--- a/internal/runner/observer_test.go
+++ b/internal/runner/observer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/forwarder"
+	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
 // Guards against a limit or a departure that an upstream states to a node that is not hosted and that has no effect,
@@ -20,9 +21,10 @@
 	}
 	var got result
 	restarts := uint64(0)
+	clock := timekeeper.Manual(timekeeper.Minute)
 	o := &observer{
 		setLimit: func(l admitter.Limit) { got.Limits = append(got.Limits, l) },
-		restarts: func() uint64 { return restarts }, logger: zap.NewNop(),
+		restarts: func() uint64 { return restarts }, clock: clock.Clock(), logger: zap.NewNop(),
 	}
 	accepts := func() {
 		_, ok := o.instance()
@@ -30,15 +32,18 @@
 	}
 	limited := admitter.Limit{Stated: true, Rate: 12.5}
 	accepts()
-	o.ObserveLimit("", limited)
-	o.observeProbe(http.Header{forwarder.HeaderLimit: {"12.5"}})
-	o.observeProbe(http.Header{forwarder.HeaderLimit: {"a lot"}})
-	o.observeProbe(http.Header{})
-	o.observeProbe(http.Header{forwarder.HeaderLeaving: {"1"}})
+	o.ObserveLimit("", limited, clock.Clock().Now())
+	clock.Advance(10)
+	o.observeProbe(http.Header{forwarder.HeaderLimit: {"12.5"}}, 5)
+	o.observeProbe(http.Header{forwarder.HeaderLimit: {"a lot"}}, 5)
+	o.observeProbe(http.Header{}, 15) // may have been made before the limit began
+	o.observeProbe(http.Header{forwarder.HeaderLimit: {"13"}}, 5)
+	o.observeProbe(http.Header{}, 5)
+	o.observeProbe(http.Header{forwarder.HeaderLeaving: {"1"}}, 5)
 	accepts()
 	restarts++
 	accepts()
-	want := result{[]admitter.Limit{limited, {}}, []bool{true, false, true}}
+	want := result{[]admitter.Limit{limited, {Stated: true, Rate: 13}, {}}, []bool{true, false, true}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("effects differ (-want +got):\n%s", diff)
 	}
