registrar: a response of an earlier process of the upstream says nothing

What callers would see: a restarted upstream gets no requests until it restarts again, so that its service has one upstream less.

Cause: a response is matched to the process by the id of the upstream, and an upstream may keep its id when it starts again. A response that states the departure of the process before, read after the first heartbeat of the next one, marked the next one as leaving, which only the end of a process takes back. A node that was paused reads both when it wakes, in any order. On nodes that are not hosted, processes have no ids at all.

TestLeavingStatedInAResponse and TestObserver fail with the new check off.

Change: statements count only in responses to requests that were sent after the current process was found (on other nodes: after the end of the process before was noticed).

--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -57,7 +57,7 @@
 // instance is the id of the process that responded, sent the time at which it was sent the request.
 type Observer interface {
 	ObserveLimit(instance string, limit admitter.Limit, sent timekeeper.Millis)
-	ObserveLeaving(instance string)
+	ObserveLeaving(instance string, sent timekeeper.Millis)
 }
 
 // Isolator refuses requests that crash upstreams; *isolator.Isolator satisfies it.
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if response.Header.Get(HeaderLeaving) == "1" {
-		h.Observer.ObserveLeaving(x.instance)
+		h.Observer.ObserveLeaving(x.instance, sent)
 	}
 	limit, err := admitter.ParseLimit(response.Header.Get(HeaderLimit))
 	if err != nil {
--- a/internal/registrar/health.go
+++ b/internal/registrar/health.go
@@ -57,7 +57,7 @@
 	defer r.mutex.Unlock()
 	r.options.Logger.Info("upstream health checked", zap.String("instance", id), zap.String("answered", health.ID),
 		zap.Bool("ready", health.Ready), zap.Error(err))
-	if r.state.ID != id {
+	if !r.isCurrent(id, sent) {
 		return
 	}
 	if err == nil && health.ID == id || health.Limit.Stated {
--- a/internal/registrar/observe.go
+++ b/internal/registrar/observe.go
@@ -20,7 +20,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.state.ID == instance {
+	if r.isCurrent(instance, sent) {
 		r.recordLimit(limit, sent)
 	}
 }
@@ -43,16 +43,23 @@
 	r.publish()
 }
 
-// ObserveLeaving records that the upstream stated in a response that it is leaving, which its heartbeats may state
-// later or never. It gets no new requests from then on.
-func (r *Registrar) ObserveLeaving(instance string) {
+// ObserveLeaving records that the upstream stated in the response to a request sent at a time that it is leaving, which
+// its heartbeats may state later or never. It gets no new requests from then on. A response of another process than the
+// current one is ignored.
+func (r *Registrar) ObserveLeaving(instance string, sent timekeeper.Millis) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.state.ID == instance {
+	if r.isCurrent(instance, sent) {
 		r.recordLeaving()
 	}
 }
 
+// isCurrent reports whether the response of an instance to a request sent at a time is from the current process. A
+// restarted upstream may keep its id. The caller holds the lock.
+func (r *Registrar) isCurrent(instance string, sent timekeeper.Millis) bool {
+	return r.state.ID == instance && sent >= r.foundAt
+}
+
 // recordLeaving records that the current process is leaving. The caller holds the lock.
 func (r *Registrar) recordLeaving() {
 	if r.draining {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -47,6 +47,7 @@
 	current           atomic.Pointer[State]
 	restarts          atomic.Uint64
 	lastResponse      atomic.Int64      // time of the last response that showed the limit, in ms
+	foundAt           timekeeper.Millis // time of the first heartbeat of the current process
 	limitedSince      timekeeper.Millis // time from which the node knows the limit in force
 }
 
@@ -78,6 +79,7 @@
 			r.verification.passed = true // the upstream restarted while this process was running
 		}
 		r.heartbeatAccepted = true
+		r.foundAt = now
 		r.down, r.draining = false, false
 		r.state.Responded, r.state.Limit = false, admitter.Limit{}
 		r.options.Logger.Info("upstream found", zap.String("instance", b.ID), zap.Uint64("born", b.Incarnation),
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -93,21 +93,26 @@
 }
 
 // Guards against an upstream that gets new requests although its responses state that it is leaving: its heartbeats may
-// state this seconds later, and those on the way still report it as ready.
+// state this seconds later, and those on the way still report it as ready. Also guards against a restarted upstream
+// that gets no requests since a response of its earlier process, which had the same id, is read late.
 func TestLeavingStatedInAResponse(t *testing.T) {
-	r, _ := newRegistrar()
+	r, clock := newRegistrar()
+	sent := clock.Clock().Now() + 25 // between the second step and the third
 	steps := []struct {
 		name string
 		do   func()
 		want bool // ready afterwards
 	}{
 		{"first heartbeat", func() { _ = r.Heartbeat(heartbeat(1, 1)) }, true},
-		{"response of another process", func() { r.ObserveLeaving("i-0") }, true},
-		{"response", func() { r.ObserveLeaving("i-1") }, false},
+		{"response of another process", func() { r.ObserveLeaving("i-0", sent) }, true},
+		{"response", func() { r.ObserveLeaving("i-1", sent) }, false},
 		{"late heartbeat", func() { _ = r.Heartbeat(heartbeat(1, 2)) }, false},
 		{"next process", func() { _ = r.Heartbeat(heartbeat(2, 1)) }, true},
+		{"late response of the process before", func() { r.ObserveLeaving("i-1", sent) }, true},
+		{"response of the next process", func() { r.ObserveLeaving("i-1", clock.Clock().Now()) }, false},
 	}
 	for _, step := range steps {
+		clock.Advance(10)
 		step.do()
 		if diff := cmp.Diff(step.want, r.Alive()); diff != "" {
 			t.Errorf("%s: ready differs (-want +got):\n%s", step.name, diff)
--- a/internal/runner/observer.go
+++ b/internal/runner/observer.go
@@ -19,18 +19,20 @@
 	clock    timekeeper.Clock
 	logger   *zap.Logger
 
-	mutex       sync.Mutex
-	limit       admitter.Limit
-	since       timekeeper.Millis // time from which the limit is known
-	leaving     bool
-	leavingLife uint64 // value of restarts when the upstream stated that it is leaving
+	mutex   sync.Mutex
+	limit   admitter.Limit
+	since   timekeeper.Millis // time from which the limit is known
+	ended   uint64            // value of restarts for the current process of the upstream
+	foundAt timekeeper.Millis // time at which the end of the process before was noticed; 0 if there was none
+	leaving bool              // the current process is leaving
 }
 
 // ObserveLimit implements forwarder.Observer.
 func (o *observer) ObserveLimit(_ string, limit admitter.Limit, sent timekeeper.Millis) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.limit == limit || !limit.Replaces(o.limit, o.since, sent) {
+	o.noticeEnd()
+	if sent < o.foundAt || o.limit == limit || !limit.Replaces(o.limit, o.since, sent) {
 		return
 	}
 	if o.limit.Stated != limit.Stated { // an upstream may state another rate in each response
@@ -43,34 +45,43 @@
 }
 
 // ObserveLeaving implements forwarder.Observer.
-func (o *observer) ObserveLeaving(string) {
-	life := o.restarts()
+func (o *observer) ObserveLeaving(_ string, sent timekeeper.Millis) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.leaving && o.leavingLife == life {
+	o.noticeEnd()
+	if sent < o.foundAt || o.leaving {
 		return
 	}
-	o.leaving, o.leavingLife = true, life
+	o.leaving = true
 	o.logger.Info("upstream is leaving")
 }
 
+// noticeEnd begins with the next process of the upstream if the one before has ended: responses to requests sent until
+// now are ignored, and the next process is not leaving. The caller holds the lock.
+func (o *observer) noticeEnd() {
+	if ended := o.restarts(); ended != o.ended {
+		o.ended, o.foundAt, o.leaving = ended, o.clock.Now(), false
+	}
+}
+
 // observeProbe records what the response to a probe states, some ms after the probe was sent.
 func (o *observer) observeProbe(header http.Header, elapsed timekeeper.Millis) {
+	sent := o.clock.Now() - elapsed
 	if header.Get(forwarder.HeaderLeaving) == "1" {
-		o.ObserveLeaving("")
+		o.ObserveLeaving("", sent)
 	}
 	limit, err := admitter.ParseLimit(header.Get(forwarder.HeaderLimit))
 	if err != nil {
 		o.logger.Warn("limit in the response to a probe ignored", zap.Error(err))
 		return
 	}
-	o.ObserveLimit("", limit, o.clock.Now()-elapsed)
+	o.ObserveLimit("", limit, sent)
 }
 
 // instance reports whether the upstream accepts new requests. Processes of such upstreams have no ids.
 func (o *observer) instance() (id string, ok bool) {
-	life := o.restarts()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return "", !o.leaving || o.leavingLife != life
+	o.noticeEnd()
+	return "", !o.leaving
 }
--- a/internal/runner/observer_test.go
+++ b/internal/runner/observer_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a limit or a departure that an upstream states to a node that is not hosted and that has no effect,
-// and against a departure that outlives the process which stated it.
+// and against a departure that outlives the process which stated it, or is read after the end of that process.
 func TestObserver(t *testing.T) {
 	type result struct {
 		Limits  []admitter.Limit
@@ -41,9 +41,15 @@
 	o.observeProbe(http.Header{}, 5)
 	o.observeProbe(http.Header{forwarder.HeaderLeaving: {"1"}}, 5)
 	accepts()
+	clock.Advance(10)
 	restarts++
 	accepts()
-	want := result{[]admitter.Limit{limited, {Stated: true, Rate: 13}, {}}, []bool{true, false, true}}
+	clock.Advance(10)
+	o.ObserveLeaving("", clock.Clock().Now()-15) // a response of the process before
+	accepts()
+	o.ObserveLeaving("", clock.Clock().Now())
+	accepts()
+	want := result{[]admitter.Limit{limited, {Stated: true, Rate: 13}, {}}, []bool{true, false, true, true, false}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("effects differ (-want +got):\n%s", diff)
 	}
