soak: limits that overlap, and the platform restored twice

They now also come in series and overlap: one second after a limit begins, the same server states a limit of a quarter of it, and the platform comes back from an older copy twice. A server states the lowest limit that is in force.

--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -26,6 +26,7 @@
 	node     int           // index, or allNodes
 	offset   time.Duration // from the end of startPhase
 	duration time.Duration
+	rate     int64 // requests per second of a limit
 }
 
 func (f fault) String() string {
@@ -64,14 +65,19 @@
 	return faults
 }
 
-// statedKinds are faults that servers and the platform state themselves: a limit of requests, a restored copy, and a
-// departure that only responses state. Each seed with unplanned faults has one of each, drawn apart from the others, so
-// that earlier seeds keep their faults.
-var statedKinds = []string{"limit app", "restore platform", "leave app"}
+// statedKinds are faults that servers and the platform state themselves: a limit of requests, restored copies, and a
+// departure that only responses state. Each seed with unplanned faults has these, drawn apart from the others, so that
+// earlier seeds keep their faults.
+var statedKinds = []string{
+	"limit app", "restore platform", "leave app", "restore platform",
+}
 
 const (
 	// limitDuration is the shortest time of a limit: its bound holds after stablePeriod, for one limitWindow at least.
 	limitDuration = stablePeriod + limitWindow
+	// limitOverlap is the time from the begin of a limit to that of a lower one, limitDivisor the ratio of the two.
+	limitOverlap = time.Second
+	limitDivisor = 4
 	// maxLimit bounds the random limit, in requests per second. A server gets about 30.
 	maxLimit = 20
 	// leaveDuration is the shortest time from the first response that states a departure to the end of the server.
@@ -80,7 +86,7 @@
 	restoredAge = 2 * time.Second
 )
 
-// drawStatedFaults returns one fault of each of statedKinds, or none for seeds with planned faults only.
+// drawStatedFaults returns the faults of statedKinds, or none for seeds with planned faults only.
 func drawStatedFaults(seed uint64, nodes int) []fault {
 	if seed%plannedSeedInterval == 0 {
 		return nil
@@ -94,7 +100,9 @@
 		}
 		switch kind {
 		case "limit app":
+			f.rate = 1 + int64(f.duration/time.Millisecond)%maxLimit
 			f.duration += limitDuration
+			faults = append(faults, f.tightened())
 		case "restore platform":
 			f.node = allNodes
 		case "leave app":
@@ -105,6 +113,13 @@
 	return faults
 }
 
+// tightened returns a lower limit of the same server that begins while f is in force.
+func (f fault) tightened() fault {
+	f.offset += limitOverlap
+	f.rate = max(f.rate/limitDivisor, 1)
+	return f
+}
+
 // statedStream is the stream of the random source of drawStatedFaults.
 const statedStream = 1 << 20
 
@@ -136,7 +151,7 @@
 		n.process.Signal(syscall.SIGCONT)
 	},
 	"limit app": func(ctx context.Context, _ *mesh, n *node, f fault) {
-		n.currentServer().Limit(ctx, 1+int64(f.duration/time.Millisecond)%maxLimit, f.duration)
+		n.currentServer().Limit(ctx, f.rate, f.duration)
 	},
 	"restore platform": func(ctx context.Context, m *mesh, _ *node, f fault) {
 		if away := f.duration / 2; f.duration%2 == 0 {
