--- a/internal/admitter/limit.go
+++ b/internal/admitter/limit.go
@@ -15,9 +15,9 @@
 	Rate   float64 // requests per second; 0 allows none
 }
 
-// Replaces reports whether a response that states l, to a request sent at a time, replaces the current limit, which is
-// known since a time. Responses may arrive in another order than the upstream made them, so the end of a limit must be
-// stated to a request that was sent when the limit was known.
+// Replaces reports whether l, stated in the response to a request sent at a time, replaces the current limit, which the
+// node learned at the time since. Responses may arrive in another order than the upstream made them, so the end of a
+// limit counts only in the response to a request that was sent after the node had learned the limit.
 func (l Limit) Replaces(current Limit, since, sent timekeeper.Millis) bool {
 	return l.Stated || !current.Stated || sent >= since
 }
--- a/internal/admitter/pacer_test.go
+++ b/internal/admitter/pacer_test.go
@@ -69,11 +69,11 @@
 	})
 }
 
-// Guards against a limit that is not used up while requests wait, and against a reported rate that says so although it
-// is.
+// Guards against a limit that is not used up while requests wait, and against a reported rate of starts below the
+// actual one.
 func TestLimitIsUsedUp(t *testing.T) {
 	const (
-		rate     = 17.3 // starts that do not fall on the same part of each bucket
+		rate     = 17.3 // not a multiple of the bucket rate, so that starts fall on all parts of a bucket
 		workers  = 12
 		duration = 20 * timekeeper.Second
 	)
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -78,7 +78,7 @@
 	return *q.load.Load()
 }
 
-// Started returns the number of requests per second that started in the last second.
+// Started returns the rate of starts over the last second, in requests per second.
 func (q *Queue) Started() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -54,7 +54,7 @@
 }
 
 // Observer learns what the upstream states about itself in its responses; *registrar.Registrar satisfies it. The
-// instance is the id of the process that responded, sent the time at which it was sent the request.
+// instance is the id of the process that responded; sent is the time at which the request was sent to it.
 type Observer interface {
 	ObserveLimit(instance string, limit admitter.Limit, sent timekeeper.Millis)
 	ObserveLeaving(instance string, sent timekeeper.Millis)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -48,7 +48,7 @@
 	restarts          atomic.Uint64
 	lastResponse      atomic.Int64      // time of the last response that showed the limit, in ms
 	foundAt           timekeeper.Millis // time of the first heartbeat of the current process
-	limitedSince      timekeeper.Millis // time from which the node knows the limit in force
+	limitedSince      timekeeper.Millis // time at which the last limit began or ended, as far as known
 }
 
 // New returns a registrar without an upstream.
--- a/internal/runner/observer.go
+++ b/internal/runner/observer.go
@@ -21,8 +21,8 @@
 
 	mutex   sync.Mutex
 	limit   admitter.Limit
-	since   timekeeper.Millis // time from which the limit is known
-	ended   uint64            // value of restarts for the current process of the upstream
+	since   timekeeper.Millis // time at which the last limit began or ended, as far as known
+	lastEnd uint64            // value of restarts when the current process of the upstream was found
 	foundAt timekeeper.Millis // time at which the end of the process before was noticed; 0 if there was none
 	leaving bool              // the current process is leaving
 }
@@ -56,11 +56,11 @@
 	o.logger.Info("upstream is leaving")
 }
 
-// noticeEnd begins with the next process of the upstream if the one before has ended: responses to requests sent until
-// now are ignored, and the next process is not leaving. The caller holds the lock.
+// noticeEnd checks whether the upstream's process has ended since the last call. If so, responses to requests sent
+// before now are ignored, and the next process is not leaving. The caller holds the lock.
 func (o *observer) noticeEnd() {
-	if ended := o.restarts(); ended != o.ended {
-		o.ended, o.foundAt, o.leaving = ended, o.clock.Now(), false
+	if ended := o.restarts(); ended != o.lastEnd {
+		o.lastEnd, o.foundAt, o.leaving = ended, o.clock.Now(), false
 	}
 }
 
--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -68,16 +68,14 @@
 // statedKinds are faults that servers and the platform state themselves: a limit of requests, restored copies, and a
 // departure that only responses state. Each seed with unplanned faults has these, drawn apart from the others, so that
 // earlier seeds keep their faults.
-var statedKinds = []string{
-	"limit app", "restore platform", "leave app", "restore platform",
-}
+var statedKinds = []string{"limit app", "restore platform", "leave app", "restore platform"}
 
 const (
 	// limitDuration is the shortest time of a limit: its bound holds after stablePeriod, for one limitWindow at least.
 	limitDuration = stablePeriod + limitWindow
-	// limitOverlap is the time from the begin of a limit to that of a lower one, limitDivisor the ratio of the two.
-	limitOverlap = time.Second
-	limitDivisor = 4
+	// tightenDelay is the time from the begin of a limit to that of a lower one; tightenDivisor is the ratio.
+	tightenDelay   = time.Second
+	tightenDivisor = 4
 	// maxLimit bounds the random limit, in requests per second. A server gets about 30.
 	maxLimit = 20
 	// leaveDuration is the shortest time from the first response that states a departure to the end of the server.
@@ -113,10 +111,10 @@
 	return faults
 }
 
-// tightened returns a lower limit of the same server that begins while f is in force.
+// tightened returns a lower limit of the same server, which begins while the limit f is in force.
 func (f fault) tightened() fault {
-	f.offset += limitOverlap
-	f.rate = max(f.rate/limitDivisor, 1)
+	f.offset += tightenDelay
+	f.rate = max(f.rate/tightenDivisor, 1)
 	return f
 }
 
