platform: leave out an odd object of the store, keep the others

What callers would have seen: nodes that no longer follow the configuration or find each other, as long as one object of another writer in the same kind is nested too deeply, has a revision out of range or metadata of another type.

Cause: a page of a list or watch was decoded as a whole. encoding/json rejects a text with more than 10,000 levels even inside a RawMessage, so one object made each List and Watch fail with code 506, and a watch could not get past it.

Change: the new package splitter splits a reply at its outermost level without looking inside. Each object is decoded alone, and its Spec not at all: that is left to the reader of the value. An object whose metadata is unreadable is left out and logged once, not at each poll. A reply that is cut anywhere is still an error (TestStoreRejectsDamagedReplies), and a list continues after an odd object at the end of a page.

--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -84,8 +84,9 @@
 // that finds the first of them, and the registrar, which receives the heartbeats of the upstream. The subscriber is
 // created before the tracker and calls it only while the node runs.
 func (n *Hosted) addMembership() {
+	platform := n.protocol.Platform(n.loggerFor("platform"))
 	n.subscriber = subscriber.New(subscriber.Options{
-		Name: n.settings.Name, Platform: n.protocol.Platform, Kind: n.protocol.Kind, Object: n.protocol.Name,
+		Name: n.settings.Name, Platform: platform, Kind: n.protocol.Kind, Object: n.protocol.Name,
 		Decode: n.protocol.Decode, Caller: n.client,
 		Relays:  func() []tracker.Member { return n.tracker.Relays(n.settings.Zone) },
 		Apply:   toMillis(n.settings.Hosted.Apply),
@@ -106,7 +107,7 @@
 		OnVersion: n.subscriber.ObserveVersion,
 	})
 	n.seeder = &seeder{
-		platform: n.protocol.Platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Announced(),
+		platform: platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Announced(),
 		logger: n.loggerFor("seeder"), wake: make(chan struct{}, 1),
 	}
 	n.registrar = registrar.New(registrar.Options{
--- a/internal/runner/protocol.go
+++ b/internal/runner/protocol.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/registrar"
@@ -11,7 +13,7 @@
 
 // Protocol is the interface of a hosted node to the platform on which it runs.
 type Protocol struct {
-	Platform connector.Platform
+	Platform func(*zap.Logger) connector.Platform // returns the client of the platform
 	// Kind and Name identify the object in which the operator stores the configuration. Decode turns its value into a
 	// view.
 	Kind, Name string
