--- a/internal/subscriber/relay_test.go
+++ b/internal/subscriber/relay_test.go
@@ -218,6 +218,28 @@
 	f.stop()
 }
 
+// Guards against nodes that miss a change because both relays of their data centre stop responding at the same moment,
+// for example for a loss of power right after the change: the waits at one relay after the other took longer than a
+// change may take.
+func TestChangeWhileBothRelaysAreSilent(t *testing.T) {
+	for _, apply := range []timekeeper.Millis{1000, 2000, 5000} {
+		for offset := timekeeper.Millis(0); offset < newTiming(apply).watchWait; offset += 130 {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, apply)
+				_ = connector.Sleep(t.Context(), 10*timekeeper.Second+offset)
+				for _, relay := range []string{"a", "b"} {
+					f.store.locked(func() { f.store.silent[relay] = true })
+					f.peers.silent.Store(relay, true)
+				}
+				f.store.set(2)
+				_ = connector.Sleep(t.Context(), apply)
+				f.expect(t, 2, "a", "b")
+				f.stop()
+			})
+		}
+	}
+}
+
 // Guards against nodes that keep an old version after an outage of the platform, and against a flood of calls during
 // the outage.
 func TestOutageOfThePlatform(t *testing.T) {
