messenger: close all idle connections to a peer after a call without a response

Evidence: TestSilenceOfAllConnections on the code before: 4 of 4 calls fail and no connection is opened; now 1 fails.

Change: a call that ends without a response closes the idle connections to that peer, too.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -62,6 +62,9 @@
 	} else {
 		conn.close()
 	}
+	if !responded && !c.reuseAfterFailure {
+		c.pool.drop(peer) // whatever silenced this connection may have silenced them, too
+	}
 	return classify(ctx, peer, method, err)
 }
 
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +18,34 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 )
 
+// Guards against calls to a peer that time out one after the other because all of its kept connections went silent.
+func TestSilenceOfAllConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, network := startServer(t, "a")
+		link := faker.NewLink(faker.LinkOptions{}, func(ctx context.Context) (net.Conn, error) {
+			return network.Dial(ctx, "tcp", "peer")
+		})
+		go link.Serve(t.Context(), network.Listen("far"))
+		client := NewClient(Options{Zone: "a", Dial: network.dial})
+		defer client.Close()
+		var group sync.WaitGroup
+		for range 4 { // calls at the same time open a connection each
+			group.Go(func() { _ = client.Call(t.Context(), "far", "Echo.Say", &text{"x"}, &text{}, 1000) })
+		}
+		group.Wait()
+		link.Silence()
+		failures := 0
+		for range 4 {
+			if client.Call(t.Context(), "far", "Echo.Say", &text{"x"}, &text{}, 1000) != nil {
+				failures++
+			}
+		}
+		if network.dials != 5 || failures != 1 {
+			t.Errorf("%d connections opened and %d calls failed, not 5 and 1", network.dials, failures)
+		}
+	})
+}
+
 // Guards against replies that reach the wrong call, errors that lose their code, a panic that ends the process and
 // an oversized reply that ends the connection without an error code.
 func TestCallReturnsItsOwnResult(t *testing.T) {
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// drop closes the idle connections of a peer.
+func (p *pool) drop(peer string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle[peer] {
+		c.timer.Stop()
+		c.close()
+		p.size--
+	}
+	delete(p.idle, peer)
+}
+
 func (p *pool) close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
