connector: close idle connections to the platform after a call without a response

Shown in a test only.

Evidence: TestCallsAfterConnectionsGoSilent on the code before: 3 calls fail one after the other; now 1 fails.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -125,6 +125,7 @@
 	setPrecondition(request.Header, method, etag)
 	response, err := c.httpClient.Do(request)
 	if err != nil {
+		c.httpClient.CloseIdleConnections() // whatever silenced this connection may have silenced them, too
 		return apiResponse{}, classifier.Wrap(classifier.CodeUnavailable, path, err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -148,3 +152,40 @@
 		t.Errorf("calls differ (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against calls that time out one after the other because all kept connections to the platform went silent.
+func TestCallsAfterConnectionsGoSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, platform := faker.NewNetwork(), faker.NewPlatform()
+		platform.SetFault(func(faker.Operation) faker.Fault { return faker.Fault{Delay: 10} }) // so that calls overlap
+		server := &http.Server{Handler: faker.Handler(platform), ReadHeaderTimeout: time.Minute}
+		listener := network.Listen("server")
+		go func() { _ = server.Serve(listener) }()
+		link := faker.NewLink(faker.LinkOptions{}, func(ctx context.Context) (net.Conn, error) {
+			return network.Dial(ctx, "tcp", "server")
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go link.Serve(ctx, network.Listen("platform:1"))
+		client := connector.NewClient(connector.Options{
+			URL: "http://platform:1", Rate: 1000, Burst: 100, Timeout: timekeeper.Second, Dial: network.Dial,
+		})
+		var group sync.WaitGroup
+		for range 3 {
+			group.Go(func() { _, _ = client.List(ctx, connector.KindHead) })
+		}
+		group.Wait()
+		link.Silence()
+		failures := 0
+		for range 4 {
+			if _, err := client.List(ctx, connector.KindHead); err != nil {
+				failures++
+			}
+		}
+		if failures != 1 {
+			t.Errorf("%d calls failed, not 1", failures)
+		}
+		cancel()
+		_ = server.Close()
+		<-time.After(time.Minute) // lets idle connections end
+	})
+}
