registrar: reject heartbeats with values that no upstream has

What callers would see: a service without one of its upstreams until the node beside it restarts, after a single heartbeat or deregistration of another writer.

Cause: a heartbeat was believed as long as it was valid JSON for the right service and address. After a sequence or a start of 2^64-1, each later one of the real upstream counted as late. With 4,000,000,000 slots the node published a membership entry that all other nodes refuse, its pings included. A deregistration with a start of 2^64-1 had the same effect, and one whose body could not be read counted as one without a start.

Evidence: the six new cases of TestHeartbeatsOfOtherSenders, TestHeartbeatsBelowAForgedSequence and TestDeregistrationOutOfRange fail on the code before.

A wrong sequence within the range is undone by three heartbeats of the same process in their order, unless the upstream is leaving: a state that was acknowledged must hold.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -11,6 +11,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
 const (
@@ -19,6 +20,11 @@
 	missedHeartbeats = 4
 	// checkTimeout is the timeout of the connection that Check opens, in ms. The upstream is on the same machine.
 	checkTimeout timekeeper.Millis = 300
+	// maxSequence bounds the sequence of a heartbeat: larger integers are not exact in JSON.
+	maxSequence = 1 << 53
+	// maxAhead bounds how far the start of an upstream may lie in the future, in ms. The clocks of the machine and of the
+	// node may differ.
+	maxAhead = 24 * 60 * timekeeper.Minute
 )
 
 // Options describe the upstream beside a node.
@@ -44,6 +50,7 @@
 	heartbeatAccepted bool // false after a deregistration alone, which may lack the incarnation
 	verification      verification
 	lastHeartbeat     timekeeper.Millis // time of the last accepted heartbeat
+	late              lateHeartbeats
 	current           atomic.Pointer[State]
 	restarts          atomic.Uint64
 	lastResponse      atomic.Int64      // time of the last response that showed the limit, in ms
@@ -58,21 +65,26 @@
 	return r
 }
 
-// Heartbeat processes a heartbeat. It fails with code 403 if the heartbeat is not from the upstream beside this node.
-// Late heartbeats are acknowledged and ignored.
+// Heartbeat processes a heartbeat. It fails with code 403 if the heartbeat is not from the upstream beside this node or
+// has values that no upstream has. Late heartbeats are acknowledged and ignored.
 func (r *Registrar) Heartbeat(b Heartbeat) error {
-	if b.Service != r.options.Service || b.Address != r.options.Address || b.ID == "" || b.Slots <= 0 {
-		return classifier.New(classifier.CodeBadRequest, "heartbeat",
-			"instance %.64q of service %.64q at %.64q is not the upstream of this node", b.ID, b.Service, b.Address)
+	now := r.options.Clock.Now()
+	if err := r.check(&b, now); err != nil {
+		r.options.Logger.Info("heartbeat rejected", zap.String("instance", b.ID), zap.Error(err))
+		return err
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	newProcess := !r.known || b.Incarnation > r.state.Incarnation
-	if !newProcess && (b.Incarnation < r.state.Incarnation || b.ID != r.state.ID || b.Sequence <= r.state.Sequence) {
+	if !newProcess && r.isLate(&b) {
 		r.options.Logger.Info("late heartbeat ignored", zap.String("instance", b.ID), zap.Uint64("sequence", b.Sequence))
 		return nil
 	}
-	now := r.options.Clock.Now()
+	if !newProcess && b.Sequence <= r.state.Sequence {
+		r.options.Logger.Warn("sequence of the heartbeats is lower again", zap.String("instance", b.ID),
+			zap.Uint64("sequence", b.Sequence), zap.Uint64("sequence_before", r.state.Sequence))
+	}
+	r.late = lateHeartbeats{}
 	if newProcess {
 		if r.heartbeatAccepted {
 			r.restarts.Add(1)
@@ -98,6 +110,59 @@
 	return nil
 }
 
+// check fails for a heartbeat of another sender.
+func (r *Registrar) check(b *Heartbeat, now timekeeper.Millis) error {
+	switch {
+	case b.Service != r.options.Service || b.Address != r.options.Address || b.ID == "":
+		return classifier.New(classifier.CodeBadRequest, "heartbeat",
+			"instance %.64q of service %.64q at %.64q is not the upstream of this node", b.ID, b.Service, b.Address)
+	case b.Slots <= 0 || b.Slots > tracker.MaxSlots:
+		return outOfRange("slots", uint64(b.Slots))
+	case b.Sequence > maxSequence:
+		return outOfRange("sequence", b.Sequence)
+	}
+	return checkIncarnation(b.Incarnation, now)
+}
+
+// checkIncarnation fails for a start that lies too far in the future.
+func checkIncarnation(incarnation uint64, now timekeeper.Millis) error {
+	if incarnation > uint64(now+maxAhead) {
+		return outOfRange("start", incarnation)
+	}
+	return nil
+}
+
+func outOfRange(field string, value uint64) error {
+	failure := classifier.New(classifier.CodeBadRequest, "heartbeat", "%d is out of range", value)
+	failure.Field = field
+	return failure
+}
+
+// lateHeartbeats counts the heartbeats of the current process that came one after the other in their order, but below
+// the last accepted one.
+type lateHeartbeats struct {
+	count    int
+	sequence uint64 // of the last one
+}
+
+// isLate reports whether a heartbeat must be ignored because a newer one was accepted. Several heartbeats of the
+// current process in their order show that the newer one was not from the upstream; unless the upstream is leaving,
+// they count again. The caller holds the lock.
+func (r *Registrar) isLate(b *Heartbeat) bool {
+	if b.Incarnation < r.state.Incarnation || b.ID != r.state.ID {
+		return true
+	}
+	if b.Sequence > r.state.Sequence {
+		return false
+	}
+	if b.Sequence <= r.late.sequence {
+		r.late.count = 0
+	}
+	r.late.count++
+	r.late.sequence = b.Sequence
+	return r.draining || !r.heartbeatAccepted || r.late.count < verifyingHeartbeats
+}
+
 // startTolerance is the difference between two reports of the same start that is ignored, in ms: the delay of
 // heartbeats varies.
 const startTolerance timekeeper.Millis = 500
@@ -113,13 +178,18 @@
 	return reported
 }
 
-// Deregister processes the last message of an upstream. A message of another process is ignored.
-func (r *Registrar) Deregister(d Deregistration) {
+// Deregister processes the last message of an upstream. It fails with code 403 for a start that no upstream has. A
+// message of another process is ignored.
+func (r *Registrar) Deregister(d Deregistration) error {
+	if err := checkIncarnation(d.Incarnation, r.options.Clock.Now()); err != nil {
+		r.options.Logger.Info("deregistration rejected", zap.String("instance", d.ID), zap.Error(err))
+		return err
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.known && (d.ID != r.state.ID || d.Incarnation != 0 && d.Incarnation < r.state.Incarnation) {
 		r.options.Logger.Info("late deregistration ignored", zap.String("instance", d.ID))
-		return
+		return nil
 	}
 	if !r.known {
 		// The previous process of the node may have known the upstream: late heartbeats must not make it ready again.
@@ -129,6 +199,7 @@
 	r.down, r.draining = true, true
 	r.options.Logger.Info("upstream deregistered", zap.String("instance", d.ID))
 	r.publish()
+	return nil
 }
 
 // publish stores a copy of the state for readers and reports a change of it. The caller holds the lock.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -55,11 +56,11 @@
 			deregisterAfter(Deregistration{ID: "i-1", Incarnation: 1}, heartbeat(2, 1)), true,
 		},
 		"heartbeat after a deregistration that came first": {func(r *Registrar) error {
-			r.Deregister(Deregistration{ID: "i-1", Incarnation: 1})
+			_ = r.Deregister(Deregistration{ID: "i-1", Incarnation: 1})
 			return r.Heartbeat(heartbeat(1, 7))
 		}, false},
 		"next process after a deregistration that came first": {func(r *Registrar) error {
-			r.Deregister(Deregistration{ID: "i-1", Incarnation: 1})
+			_ = r.Deregister(Deregistration{ID: "i-1", Incarnation: 1})
 			return r.Heartbeat(heartbeat(2, 1))
 		}, true},
 	} {
@@ -86,9 +87,7 @@
 
 func deregisterAfter(d Deregistration, b Heartbeat) func(r *Registrar) error {
 	return func(r *Registrar) error {
-		err := r.Heartbeat(b)
-		r.Deregister(d)
-		return err
+		return errors.Join(r.Heartbeat(b), r.Deregister(d))
 	}
 }
 
@@ -120,6 +119,45 @@
 	}
 }
 
+// Guards against an upstream whose heartbeats are all taken for late ones, because another sender's with a higher
+// sequence was accepted, and against a leaving upstream that becomes ready again by late heartbeats.
+func TestHeartbeatsBelowAForgedSequence(t *testing.T) {
+	for name, c := range map[string]struct {
+		forged Heartbeat
+		want   []uint64 // sequence of the state after each of the following heartbeats
+	}{
+		"forged":  {heartbeat(1, 4_000_000_000), []uint64{4_000_000_000, 4_000_000_000, 4, 5}},
+		"leaving": {leaving(heartbeat(1, 9)), []uint64{9, 9, 9, 9}},
+	} {
+		r, _ := newRegistrar()
+		if err := errors.Join(r.Heartbeat(heartbeat(1, 1)), r.Heartbeat(c.forged)); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]uint64, 0, len(c.want))
+		for sequence := range uint64(len(c.want)) {
+			if err := r.Heartbeat(heartbeat(1, sequence+2)); err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, r.Current().Sequence)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: sequences differ (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// Guards against a deregistration with a start in the future, after which all heartbeats are taken for late ones.
+func TestDeregistrationOutOfRange(t *testing.T) {
+	r, _ := newRegistrar()
+	err := r.Deregister(Deregistration{ID: "i-1", Incarnation: math.MaxUint64})
+	if classifier.CodeOf(err) != classifier.CodeBadRequest {
+		t.Errorf("error %v", err)
+	}
+	if err = r.Heartbeat(heartbeat(1, 1)); err != nil || !r.Alive() {
+		t.Errorf("error %v, ready %v", err, r.Alive())
+	}
+}
+
 // Guards against a heartbeat from another sender that changes the state of the upstream.
 func TestHeartbeatsOfOtherSenders(t *testing.T) {
 	r, _ := newRegistrar()
@@ -132,6 +170,14 @@
 		"address": func(b *Heartbeat) { b.Address = "127.0.0.1:10" },
 		"slots":   func(b *Heartbeat) { b.Slots = 0 },
 		"id":      func(b *Heartbeat) { b.ID = "" },
+		// Values that no upstream has. A node that believed one would take all later heartbeats for late ones, or publish
+		// a membership entry that other nodes refuse.
+		"too many slots":         func(b *Heartbeat) { b.Slots = 4_000_000_000 },
+		"start in the future":    func(b *Heartbeat) { b.Incarnation = math.MaxUint64 },
+		"start in two days":      func(b *Heartbeat) { b.Incarnation = uint64(2 * 24 * 60 * timekeeper.Minute) },
+		"sequence out of range":  func(b *Heartbeat) { b.Sequence = math.MaxUint64 },
+		"sequence not exact":     func(b *Heartbeat) { b.Sequence = 1<<53 + 1 },
+		"sequence of this start": func(b *Heartbeat) { b.Incarnation, b.Sequence = 1, math.MaxUint64 },
 	} {
 		forged := heartbeat(9, 9)
 		change(&forged)
@@ -262,7 +308,7 @@
 	for _, left := range []bool{true, false} {
 		r, clock := newRegistrar()
 		r.options.Health = func(context.Context) (Health, error) { return Health{ID: "i-1", Ready: !left}, nil }
-		r.Deregister(Deregistration{ID: "i-1"})
+		_ = r.Deregister(Deregistration{ID: "i-1"})
 		if err := r.Heartbeat(heartbeat(1, 7)); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/tracker/message.go
+++ b/internal/tracker/message.go
@@ -10,12 +10,14 @@
 // Format is the version of the message format that this package writes and reads.
 const Format = 1
 
+// MaxSlots bounds the slots of a member.
+const MaxSlots = 1 << 20
+
 // Limits on the fields of a message.
 const (
 	maxName     = 128
 	maxEntries  = 4096 // with all their fields within the decoder's limit on items in a message
 	maxZones    = 64
-	maxSlots    = 1 << 20
 	maxSequence = 1 << 62
 	// maxAhead limits how far an incarnation may lie in the future, in ms. Without the limit, a member might not
 	// be able to exceed an incarnation stored for its name, and the name would be unusable permanently.
@@ -109,7 +111,7 @@
 		return messenger.InvalidField("member", "service", len(m.Service))
 	case len(m.Peer) > maxName || len(m.Caller) > maxName:
 		return messenger.InvalidField("member", "address", max(len(m.Peer), len(m.Caller)))
-	case m.Slots < 0 || m.Slots > maxSlots:
+	case m.Slots < 0 || m.Slots > MaxSlots:
 		return messenger.InvalidField("member", "slots", m.Slots)
 	case m.Incarnation > uint64(now+maxAhead):
 		return messenger.InvalidField("member", "incarnation", m.Incarnation)
