seeder: replace an odd seed object and call no impossible address

What callers would see: new nodes of a data centre that find no others, for as long as an odd seed object of another writer is there.

Cause: a relay took an unreadable seed object of its data centre for a missing one, and tried to create it, which is a conflict at each poll. Addresses went to the membership table unchecked: with a port out of range, without one, or with a name that would have to be looked up. Each poll logged the odd objects again.

Change: an odd object of the own data centre is replaced at its revision; only an IP address with a port that exists is joined, by the check that settings already use; an odd object is logged once for each revision.

--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -37,7 +37,7 @@
 	v.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("yaml") })
 	customTags := map[string]func(text string) bool{
 		"name":     namePattern.MatchString,
-		"endpoint": isEndpoint,
+		"endpoint": IsEndpoint,
 		"digest":   isDigest,
 	}
 	for tag, valid := range customTags {
@@ -47,9 +47,9 @@
 	return v
 }
 
-// isEndpoint reports whether text is an IP address and a port. It refuses the unspecified address, because the node
+// IsEndpoint reports whether text is an IP address and a port. It refuses the unspecified address, because the node
 // announces its addresses to other nodes.
-func isEndpoint(text string) bool {
+func IsEndpoint(text string) bool {
 	endpoint, err := netip.ParseAddrPort(text)
 	return err == nil && endpoint.Port() > 0 && !endpoint.Addr().IsUnspecified()
 }
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
+	"github.com/jasmineproxy/jasmineproxy/internal/loader"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
@@ -38,7 +40,8 @@
 	zone     string
 	peer     string
 	logger   *zap.Logger
-	wake     chan struct{} // ends the pause between two polls; nil if the platform states no eras
+	wake     chan struct{}     // ends the pause between two polls; nil if the platform states no eras
+	invalid  map[string]uint64 // revisions of the seed objects that were not valid at the last poll, by name
 }
 
 // run joins the mesh through the seed objects of all data centres. On relays it then keeps the seed object of the
@@ -107,24 +110,56 @@
 	if err != nil {
 		return err
 	}
-	own := connector.Object{Kind: connector.KindSeed, Name: s.zone}
-	var addresses, listed []string
-	for _, object := range snapshot.Objects {
-		var found seeds
-		if json.Unmarshal(object.Value, &found) != nil || found.Format != 1 || len(found.Addresses) > maxSeeds {
-			s.logger.Warn("a seed object is not valid", zap.String("zone", object.Name))
-			continue
+	addresses, own, listed := s.collect(snapshot.Objects)
+	if len(addresses) > 0 {
+		s.tracker.Join(addresses)
+	}
+	return s.store(ctx, own, listed)
+}
+
+// collect returns the addresses of other nodes in the seed objects, the seed object of the own data centre, and the
+// addresses that this one lists. An object or address that cannot be used is logged once for each revision and left
+// out; the own object is then written again.
+func (s *seeder) collect(objects []connector.Object) (addresses []string, own connector.Object, listed []string) {
+	own = connector.Object{Kind: connector.KindSeed, Name: s.zone}
+	invalid := make(map[string]uint64)
+	for _, object := range objects {
+		found, err := decodeSeeds(object.Value)
+		if err != nil {
+			invalid[object.Name] = object.Revision
+			if revision, known := s.invalid[object.Name]; !known || revision != object.Revision {
+				s.logger.Warn("a seed object is not valid", zap.String("zone", object.Name),
+					zap.Uint64("revision", object.Revision), zap.Error(err))
+			}
 		}
-		addresses = append(addresses, found.Addresses...)
 		if object.Name == s.zone {
-			own.Era, own.Revision, listed = object.Era, object.Revision, found.Addresses
+			own.Era, own.Revision, listed = object.Era, object.Revision, found
+		}
+		for _, address := range found {
+			if address != s.peer && loader.IsEndpoint(address) {
+				addresses = append(addresses, address)
+			}
 		}
 	}
-	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == s.peer })
-	if len(addresses) > 0 {
-		s.tracker.Join(addresses)
+	s.invalid = invalid
+	return addresses, own, listed
+}
+
+// decodeSeeds returns the addresses in a seed object, some of which may not be usable; the error then tells so.
+func decodeSeeds(value []byte) ([]string, error) {
+	var found seeds
+	if err := json.Unmarshal(value, &found); err != nil {
+		return nil, err
 	}
-	return s.store(ctx, own, listed)
+	if found.Format != 1 || len(found.Addresses) > maxSeeds {
+		return nil, fmt.Errorf("format %d with %d addresses", found.Format, len(found.Addresses))
+	}
+	for _, address := range found.Addresses {
+		if !loader.IsEndpoint(address) {
+			return found.Addresses, fmt.Errorf("%.64q is not an IP address and a port", address)
+		}
+	}
+	return found.Addresses, nil
 }
 
 // store writes the data centre's seed object when it lists an address without a live member, or too few addresses.
--- a/internal/runner/seeder_test.go
+++ b/internal/runner/seeder_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
+	logtest "go.uber.org/zap/zaptest/observer"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
@@ -61,3 +63,58 @@
 		<-done
 	})
 }
+
+// Guards against nodes that find no others, or call addresses that cannot exist, because another writer left an odd seed
+// object: the one of the own data centre must be written again. Also guards against a log line at each poll.
+func TestOddSeedObjects(t *testing.T) {
+	const own = `{"format":1,"addresses":["10.0.0.1:1"]}`
+	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
+	for name, odd := range map[string]string{
+		"too deep":       deep,
+		"not JSON":       "\x00",
+		"format":         `{"format":2,"addresses":["10.0.0.7:1"]}`,
+		"number":         `{"format":1e400,"addresses":[]}`,
+		"types":          `{"format":1,"addresses":[7]}`,
+		"port":           `{"format":1,"addresses":["10.0.0.7:99999"]}`,
+		"no port":        `{"format":1,"addresses":["10.0.0.7"]}`,
+		"port 0":         `{"format":1,"addresses":["10.0.0.7:0"]}`,
+		"name":           `{"format":1,"addresses":["seed.example:1"]}`,
+		"any address":    `{"format":1,"addresses":["0.0.0.0:1"]}`,
+		"many addresses": `{"format":1,"addresses":["1","2","3","4","5","6","7","8","9"]}`,
+	} {
+		platform := faker.NewPlatform()
+		core, logs := logtest.New(zap.InfoLevel)
+		s := &seeder{
+			platform: platform, zone: "a", peer: "10.0.0.1:1", logger: zap.New(core),
+			tracker: tracker.NewTracker(tracker.Options{
+				Self:  tracker.Member{Name: "n", Zone: "a", Peer: "10.0.0.1:1"},
+				Clock: timekeeper.System(), Seed: 1,
+			}),
+		}
+		for zone, value := range map[string]string{"a": odd, "b": odd, "c": `{"format":1,"addresses":["10.0.0.9:1"]}`} {
+			if err := platform.Store(connector.Object{Kind: connector.KindSeed, Name: zone, Value: []byte(value)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range 3 {
+			if err := s.step(t.Context()); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		stored, err := platform.Get(t.Context(), connector.KindSeed, "a")
+		if diff := cmp.Diff(own, string(stored.Value)); diff != "" || err != nil {
+			t.Errorf("%s: %v, seed object differs (-want +got):\n%.200s", name, err, diff)
+		}
+		snapshot, err := platform.List(t.Context(), connector.KindSeed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses, _, _ := s.collect(snapshot.Objects)
+		if diff := cmp.Diff([]string{"10.0.0.9:1"}, addresses); diff != "" {
+			t.Errorf("%s: addresses differ (-want +got):\n%s", name, diff)
+		}
+		if logs.Len() != 2 {
+			t.Errorf("%s: %d log lines, not one for each of two objects", name, logs.Len())
+		}
+	}
+}
