--- a/internal/runner/seeder_test.go
+++ b/internal/runner/seeder_test.go
@@ -64,8 +64,8 @@
 	})
 }
 
-// Guards against nodes that find no others, or call addresses that cannot exist, because another writer left an odd seed
-// object: the one of the own data centre must be written again. Also guards against a log line at each poll.
+// Guards against nodes that find no others, or call addresses that cannot exist, because another writer left an odd
+// seed object: the one of the own data centre must be written again. Also guards against a log line at each poll.
 func TestOddSeedObjects(t *testing.T) {
 	const own = `{"format":1,"addresses":["10.0.0.1:1"]}`
 	deep := strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001)
