forwarder: a refusal counts only if it cannot be an earlier one once more

What callers would see: "not run, try again" for a request that an upstream runs (REFUSED), or a second run of it at another upstream (TWICE).

Cause: a faulty server may write an earlier refusal once more on a kept connection. A refusal without an id, or with the id of a request that was sent to this server before, counted for whatever was sent last. Between nodes a refusal without Jasmine-Answers counted in the same way.

Evidence, on the code before: TestRepeatedRefusal, "copy without an id", "copy for the same id" and "refusal without an id on a kept connection": not run instead of unknown; TestRefusalOfAnotherAttempt: the same between nodes.

Change: one rule for both hops. A refusal is proof if it names the request or attempt and no earlier refusal of the upstream did, or if it is the first response of its connection (httptrace). Otherwise the outcome is unknown, and the connection is closed: its next response belongs to this request. A host node names the attempt in all its refusals but those of a request that it cannot decode; a draining one of an earlier version does not, so that during an upgrade such a refusal on a kept connection is followed by an outcome query.

The stand-in of an upstream names the request that it sheds, and TestServerChecksResponses also checks that the id is handed on.

--- a/internal/faker/upstream.go
+++ b/internal/faker/upstream.go
@@ -134,6 +134,7 @@
 	crashed, admitted := u.start(id)
 	if !admitted {
 		w.Header().Set("Jasmine-Outcome", "notrun")
+		w.Header().Set("Jasmine-Id", id)
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -243,8 +243,9 @@
 	}
 	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
 	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
+	traced, used := trace(bounded)
 	watch := e.watcher.begin(c, member.Peer, cancel)
-	response, err := e.transport.RoundTrip(c.request(bounded, member.Peer))
+	response, err := e.transport.RoundTrip(c.request(traced, member.Peer))
 	if err != nil {
 		e.watcher.stop(watch)
 		cancel()
@@ -252,7 +253,7 @@
 		result.unsent = isDialError(err)
 		return e.resolveBroken(ctx, c, member, result)
 	}
-	result := receive(ctx, c, response, cancel)
+	result := receive(ctx, c, response, used, cancel)
 	e.watcher.stop(watch)
 	return e.resolveBroken(ctx, c, member, result)
 }
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -18,6 +18,7 @@
 	transport         *http.Transport
 	upstreamTransport http.RoundTripper // transport with the protocol of the upstream
 	attempts          *attempts
+	refusals          refusals
 	reportedCrashes   crashCount
 	answered          isolator.AnsweredRequests
 	serviceTimes      serviceTimes
@@ -62,6 +63,10 @@
 
 // ServeHTTP serves one request of an entry node.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j, err := decodeJob(r.Header)
+	if err == nil {
+		w.Header()[headerAnswers] = []string{j.key().String()}
+	}
 	if h.Gate != nil {
 		if !h.Gate.Begin() {
 			w.Header()["Connection"] = []string{"close"} // or later requests would race with the close of this connection
@@ -70,7 +75,11 @@
 		}
 		defer h.Gate.End()
 	}
-	x, err := h.receive(w, r)
+	if err != nil {
+		h.fail(w, failureOf(err))
+		return
+	}
+	x, err := h.receive(w, r, j)
 	if err != nil {
 		h.fail(w, failureOf(err))
 		return
@@ -78,7 +87,6 @@
 	defer releaseBuffer(x.body)
 	ctx, cancel := context.WithTimeout(r.Context(), x.Remaining.Duration())
 	defer cancel()
-	w.Header()[headerAnswers] = []string{x.key.String()}
 	if err = h.attempts.begin(h.Clock.Now(), x.key, &trackedAttempt{
 		cancel: cancel, expires: x.deadline + attemptGrace, isolationKey: x.isolationKey(),
 	}); err != nil && !h.noFence {
@@ -95,13 +103,9 @@
 	}
 }
 
-// receive decodes and validates the request. A short body is read before admission, so that the server detects when the
+// receive validates the request of a job. A short body is read before admission, so that the server detects when the
 // entry node disconnects while the request is queued, and a slow sender occupies no slot.
-func (h *Host) receive(w http.ResponseWriter, r *http.Request) (*hostAttempt, error) {
-	j, err := decodeJob(r.Header)
-	if err != nil {
-		return nil, err
-	}
+func (h *Host) receive(w http.ResponseWriter, r *http.Request, j *job) (*hostAttempt, error) {
 	now := h.Clock.Now()
 	if j.Host != h.Name {
 		return nil, classifier.Refuse(classifier.CodeUpstreamUnreached, j.Call, "node %.64q is not at this address", j.Host)
@@ -119,7 +123,7 @@
 	}
 	if r.ContentLength > 0 && r.ContentLength <= maxBufferedBytes {
 		x.body = buffers.get()
-		if err = fillWithTimeout(w, j.Remaining, x.body, r, maxBufferedBytes); err != nil {
+		if err := fillWithTimeout(w, j.Remaining, x.body, r, maxBufferedBytes); err != nil {
 			releaseBuffer(x.body)
 			return nil, bodyFailure(j.Call, err)
 		}
@@ -127,7 +131,7 @@
 	if x.body == nil && r.ContentLength > 0 {
 		// By default, the server discards or closes the rest of a request body when a response begins. The transport to the
 		// upstream may still be reading it, and would close the connection on which the upstream responds.
-		if err = http.NewResponseController(w).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		if err := http.NewResponseController(w).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
 			return nil, classifier.Refuse(classifier.CodePeerInvalid, j.Call, "the body cannot be streamed: %v", err)
 		}
 	}
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -44,15 +44,18 @@
 
 // receive reads the response of a host node. Up to maxBufferedBytes are read before anything is delivered, so that a
 // truncated response can be retried.
-func receive(ctx context.Context, c *call, response *http.Response, cancel context.CancelFunc) *attemptResult {
+func receive(
+	ctx context.Context, c *call, response *http.Response, used *exchange, cancel context.CancelFunc,
+) *attemptResult {
 	result := &attemptResult{
 		status: response.StatusCode, header: response.Header, length: response.ContentLength, cancel: cancel,
 	}
 	result.load, result.serviceTime, result.failurePermille, result.loadReported = decodeLoad(
 		response.Header.Get(headerLoad),
 	)
-	if !c.matches(response) {
+	if !c.matches(response, used) {
 		_ = response.Body.Close()
+		used.abandon()
 		result.failure = classifier.Unknown(
 			classifier.CodeOutcomeUnknown, c.job.Call, "the response belongs to another request",
 		)
@@ -85,11 +88,12 @@
 }
 
 // matches reports whether a response belongs to this attempt. Responses without a Jasmine-Answers header are refusals
-// from before the host node decoded the request; they carry no response of the upstream.
-func (c *call) matches(response *http.Response) bool {
+// of a host node that could not decode the request; they carry no response of the upstream, and count only as the first
+// response of a connection.
+func (c *call) matches(response *http.Response, used *exchange) bool {
 	attempt := response.Header.Get(headerAnswers)
 	if attempt == "" {
-		return response.Header.Get(HeaderOutcome) != string(classifier.OutcomeAnswered)
+		return used.first && response.Header.Get(HeaderOutcome) != string(classifier.OutcomeAnswered)
 	}
 	return c.skipMatch || attempt == c.job.key().String()
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -31,15 +31,24 @@
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
 	sent := h.Clock.Now()
-	response, err := h.upstreamTransport.RoundTrip(request)
+	traced, used := trace(ctx)
+	response, err := h.upstreamTransport.RoundTrip(request.WithContext(traced))
 	if err == nil || !isDialError(err) {
 		x.writer.Header()[headerReached] = []string{"1"}
 	}
 	if err != nil {
+		used.abandon()
 		return nil, upstreamFailure(ctx, j, err)
 	}
+	refused := response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun)
+	if refused && !h.provesNotRun(x, response, used) {
+		_ = response.Body.Close()
+		used.abandon()
+		return nil, classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call,
+			"the refusal of the upstream may belong to an earlier request")
+	}
 	h.observe(x, response, sent)
-	if response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun) {
+	if refused {
 		_ = response.Body.Close()
 		failure := classifier.Refuse(classifier.CodeOverload, j.Call, "the upstream shed the request")
 		failure.Cause = &admitter.RetryError{After: 1}
