forwarder: reset the connection of an HTTP/1.0 caller when an answer breaks off

What callers would see: a short body that looks whole, if they speak HTTP/1.0. The users' clients speak HTTP/1.1.

Examined: an answer that is broken off after each byte of its head and at many of its body, by the upstream and by the host node, with a length, in chunks, with a trailer, until close, after interim responses, without content, 200 KB long.

Cause: a long answer without a length is streamed. To HTTP/1.0 it ends with the connection, and a connection that is closed after an abort looks like the end of the body.

Evidence: TestUpstreamBreaksOff and TestHostBreaksOff on the code before: 28 answers in chunks look whole, all to HTTP/1.0 and longer than 64 KiB.

Change: such a connection is reset.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -36,6 +36,7 @@
 	neverRan    bool // the id was claimed and the claim released: no attempt of it ran
 	mayHaveRun  bool // an earlier attempt may have run
 	nested      bool // an upstream makes the call within a run
+	untilClose  bool // the caller speaks HTTP/1.0: a body without a length ends with the connection
 	crashes     int  // attempts during which the upstream crashed
 	reached     int  // attempts that an upstream may have received
 	// Each disables one mechanism; set by tests only.
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	now := e.Clock.Now()
-	c := &call{route: route, host: r.Host, header: r.Header}
+	c := &call{route: route, host: r.Host, header: r.Header, untilClose: !r.ProtoAtLeast(1, 1)}
 	c.job = job{
 		ID: r.Header.Get(headerID), Idempotent: route.Call.Idempotent, Order: route.Rank.Order, Share: route.Rank.Share,
 		Target: route.Rank.Target, Account: route.Account.Name, Call: route.Call.Name, Service: route.Call.Service,
--- /dev/null
+++ b/internal/forwarder/head_test.go
@@ -0,0 +1,230 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+)
+
+// cutAnswer is an answer that a server breaks off after some bytes. Its headers follow the %s.
+type cutAnswer struct {
+	head, body string
+	byClose    bool // the body has no length and ends with the connection
+}
+
+var cutAnswers = map[string]cutAnswer{
+	"length": {"HTTP/1.1 200 OK\r\n%sContent-Length: 10\r\nX-A: b\r\n\r\n", "0123456789", false},
+	"empty":  {"HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", "", false},
+	"chunks": {
+		"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n", false,
+	},
+	"trailer": {
+		"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "3\r\n012\r\n0\r\nX-T: u\r\n\r\n", false,
+	},
+	"until close": {"HTTP/1.1 200 OK\r\nX-A: b\r\n%sX-C: d\r\n\r\n", "0123456789", true},
+	"after interims": {
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" +
+			"%sContent-Length: 3\r\n\r\n", "012", false,
+	},
+	"no content":     {"HTTP/1.1 204 No Content\r\nX-A: b\r\n%sX-C: d\r\n\r\n", "", false},
+	"line feeds":     {"HTTP/1.1 200 OK\n%sContent-Length: 3\n\n", "012", false},
+	"continued line": {"HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n%sContent-Length: 3\r\n\r\n", "012", false},
+	"long":           {"HTTP/1.1 200 OK\r\n%sContent-Length: 200000\r\n\r\n", strings.Repeat("x", 200_000), false},
+	"long, chunks": {
+		"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+		strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 200) + "0\r\n\r\n", false,
+	},
+}
+
+// cuts returns the lengths at which the answer is broken off: all in a short one, and one in 9,973 in a long body.
+func (a *cutAnswer) cuts(head string) []int {
+	end := len(head) + len(a.body)
+	if a.byClose {
+		end = len(head) // any length of such a body is whole
+	}
+	var cuts []int
+	for i := 0; i < end; i++ {
+		cuts = append(cuts, i)
+		if i >= len(head)+20 {
+			i += 9972
+		}
+	}
+	return cuts
+}
+
+var errReset = errors.New("the connection was reset")
+
+// resettableListener accepts connections of the in-memory network that can be reset as those of TCP.
+type resettableListener struct {
+	net.Listener
+	accepted chan *resettableConn
+}
+
+// Accept implements net.Listener.
+func (r *resettableListener) Accept() (net.Conn, error) {
+	conn, err := r.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	accepted := &resettableConn{Conn: conn}
+	r.accepted <- accepted
+	return accepted, nil
+}
+
+type resettableConn struct {
+	net.Conn
+	reset atomic.Bool
+}
+
+// SetLinger has the effect that it has on a TCP connection that is closed next.
+func (r *resettableConn) SetLinger(seconds int) error {
+	r.reset.Store(seconds == 0)
+	return nil
+}
+
+// exchangeRaw sends a request over a new connection to the entry node, and returns the status of a complete response or
+// an error.
+func exchangeRaw(
+	t *testing.T, m *mesh, entry *resettableListener, method, path, version string,
+) (status int, body string, err error) {
+	t.Helper()
+	conn, err := m.network.Dial(t.Context(), "tcp", "entry:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := <-entry.accepted
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: wick.example\r\nContent-Length: 0\r\n\r\n", method, path, version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return 0, "", err
+	}
+	content, err := io.ReadAll(response.Body)
+	if accepted.reset.Load() {
+		err = errReset
+	}
+	return response.StatusCode, string(content), errors.Join(err, response.Body.Close())
+}
+
+// checkCuts expects that no cut answer looks whole to the client, and that the whole one does.
+func checkCuts(t *testing.T, name string, a *cutAnswer, cut *int, head string, send func() (int, string, error)) {
+	t.Helper()
+	for _, *cut = range a.cuts(head) {
+		if status, body, err := send(); err == nil && status < http.StatusMultipleChoices {
+			t.Errorf("%s: broken off after %d of %d bytes of the head and %d of the body: status %d with %d bytes",
+				name, min(*cut, len(head)), len(head), max(*cut-len(head), 0), status, len(body))
+		}
+	}
+	*cut = len(head) + len(a.body)
+	if status, _, err := send(); err != nil || status >= http.StatusMultipleChoices {
+		t.Errorf("%s: whole answer: status %d, error %v", name, status, err)
+	}
+}
+
+// checkRequests checks the cuts for requests of both versions of HTTP, idempotent or not.
+func checkRequests(t *testing.T, m *mesh, name string, a *cutAnswer, cut *int, head string) {
+	t.Helper()
+	entry := &resettableListener{m.network.Listen("entry:1"), make(chan *resettableConn, 1)}
+	server := &http.Server{Handler: m.entry, ReadHeaderTimeout: time.Minute, ErrorLog: discardLog}
+	go func() { _ = server.Serve(entry) }()
+	defer func() { _ = server.Close() }()
+	for _, request := range [][3]string{
+		{http.MethodPost, "/book", "HTTP/1.1"},
+		{http.MethodGet, "/check", "HTTP/1.1"},
+		{http.MethodPost, "/book", "HTTP/1.0"},
+	} {
+		checkCuts(t, name+" "+request[2], a, cut, head, func() (int, string, error) {
+			return exchangeRaw(t, m, entry, request[0], request[1], request[2])
+		})
+	}
+	<-time.After(time.Minute) // lets connections end
+}
+
+// cutText returns the start of an answer, up to cut.
+func cutText(a *cutAnswer, head string, cut *int) string {
+	return (head + a.body)[:min(*cut, len(head)+len(a.body))]
+}
+
+// Guards against an answer that an upstream breaks off, in its head or body or between both, and that a client gets as
+// a whole one.
+func TestUpstreamBreaksOff(t *testing.T) {
+	for name, a := range cutAnswers {
+		cut, head := 0, fmt.Sprintf(a.head, "")
+		adjust := func(o *Options) {
+			o.Coordinator = nil
+			if o.Upstream != "" {
+				o.Prober = nil
+				o.Dial = func(context.Context, string, string) (net.Conn, error) {
+					upstream, host := net.Pipe()
+					go func() {
+						defer func() { _ = upstream.Close() }()
+						if request, err := http.ReadRequest(bufio.NewReader(upstream)); err == nil {
+							_, _ = io.Copy(io.Discard, request.Body)
+							_, _ = io.WriteString(upstream, cutText(&a, head, &cut))
+						}
+					}()
+					return host, nil
+				}
+			}
+		}
+		inBubble(t, adjust, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
+			checkRequests(t, m, name, &a, &cut, head)
+		})
+	}
+}
+
+// Guards against a response that a host node breaks off and that a client gets as a whole one.
+func TestHostBreaksOff(t *testing.T) {
+	for name, a := range cutAnswers {
+		cut, head := 0, ""
+		inBubble(t, nil, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
+			listener := m.network.Listen("faulty:1")
+			defer func() { _ = listener.Close() }()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = conn.Close() }()
+						request, err := http.ReadRequest(bufio.NewReader(conn))
+						if err != nil || request.Method == http.MethodConnect {
+							return
+						}
+						j, err := decodeJob(request.Header)
+						if err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, cutText(&a, fmt.Sprintf(a.head, hostHeaders(j)), &cut))
+					}()
+				}
+			}()
+			m.members[0] = tracker.Member{
+				Name: "faulty", Zone: "a", Service: service, Peer: "faulty:1", Slots: 1000, State: tracker.StateReady,
+			}
+			head = fmt.Sprintf(a.head, hostHeaders(&job{ID: newID(0)}))
+			checkRequests(t, m, name, &a, &cut, head)
+		})
+	}
+}
+
+// hostHeaders returns the header lines of a host node's response. Their length does not depend on the job.
+func hostHeaders(j *job) string {
+	key := j.key().String()
+	return headerAnswers + ": " + key + "\r\nX-Pad: " + strings.Repeat("p", 80-len(key)) + "\r\n" + HeaderOutcome +
+		": answered\r\n"
+}
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -168,10 +168,25 @@
 	if !copyStream(w, e.stream, e.length-int64(len(e.body.bytes)), e.length >= 0) {
 		e.failure = classifier.Unknown(classifier.CodeAnswerTruncated, c.job.Call, "the answer broke off")
 		e.close()
+		if c.untilClose && e.length < 0 {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset resets the connection of a caller to whom its end would look like the end of the body.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // copyStream copies the rest of a body and reports whether all of it was read and written.
 func copyStream(w io.Writer, source io.Reader, remaining int64, lengthKnown bool) bool {
 	chunk := chunks.get()
