forwarder: a change of protocol is no answer

What callers would see: status 101 and no body in place of their answer.

Cause: net/http returns a response with status 101 as a final one, although no request asked for another protocol.

Evidence: TestUpstreamAnswersWithoutFinalStatus on the code before: 101 is delivered as answered. 000, 099 and 199 are interim responses to net/http, and held before as well.

Change: a status below 200 ends the exchange with an unknown outcome.

--- a/internal/forwarder/head_test.go
+++ b/internal/forwarder/head_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
@@ -228,3 +229,37 @@
 	return headerAnswers + ": " + key + "\r\nX-Pad: " + strings.Repeat("p", 80-len(key)) + "\r\n" + HeaderOutcome +
 		": answered\r\n"
 }
+
+// Guards against a response that is no final answer, such as a change of protocol or a status that cannot be sent on:
+// it must not reach the client, take a slot for good or end the handler with a panic.
+func TestUpstreamAnswersWithoutFinalStatus(t *testing.T) {
+	for _, status := range []string{"101 Switching Protocols", "000 Odd", "099 Odd", "199 Odd"} {
+		adjust := func(o *Options) {
+			if o.Upstream == "" {
+				return
+			}
+			o.Prober = nil
+			o.Dial = func(context.Context, string, string) (net.Conn, error) {
+				upstream, host := net.Pipe()
+				go func() {
+					if request, err := http.ReadRequest(bufio.NewReader(upstream)); err == nil {
+						_, _ = io.Copy(io.Discard, request.Body)
+						_, _ = io.WriteString(upstream, "HTTP/1.1 "+status+"\r\nUpgrade: odd\r\nConnection: Upgrade\r\n\r\n")
+						_, _ = io.Copy(io.Discard, upstream)
+					}
+				}()
+				return host, nil
+			}
+		}
+		inBubble(t, adjust, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
+			m.entry.noResolve = true
+			got := m.send(t.Context(), http.MethodPost, "/book", "x")
+			if outcomeOf(got) != classifier.OutcomeUnknown || got.Code != http.StatusBadGateway {
+				t.Errorf("%s: status %d, outcome %s: %s", status, got.Code, outcomeOf(got), got.Body)
+			}
+			if running := m.hosts[0].Queue.Load().Running; running != 0 {
+				t.Errorf("%s: %d slots are still taken", status, running)
+			}
+		})
+	}
+}
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -40,6 +40,12 @@
 		used.abandon()
 		return nil, upstreamFailure(ctx, j, err)
 	}
+	if response.StatusCode < http.StatusOK {
+		_ = response.Body.Close()
+		used.abandon()
+		return nil, classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the upstream answered with status %d",
+			response.StatusCode)
+	}
 	refused := response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun)
 	if refused && !h.provesNotRun(x, response, used) {
 		_ = response.Body.Close()
