forwarder: close idle connections to the upstream after one went silent

What callers would see: after all connections to an upstream went silent, one request after the other that waits until its deadline. The same cause as in the client of the store (docs/incidents/silent.md), found by looking for it elsewhere; shown in a test.

Evidence: TestUpstreamConnectionsGoSilent on the code before: 3 requests in a row get no answer; now 1.

Change: a request that gets no response by its deadline on a kept connection closes the idle connections to the upstream.

--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -38,6 +38,9 @@
 	}
 	if err != nil {
 		used.abandon()
+		if !used.first && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			h.transport.CloseIdleConnections() // whatever silenced this connection may have silenced them, too
+		}
 		return nil, upstreamFailure(ctx, j, err)
 	}
 	if response.StatusCode < http.StatusOK {
