soak: all open connections go silent, and versions follow

The soak silenced the connections of one node and one kind at a time, among other faults, and the check of versions excuses a node for 3 s after each.

--- a/tools/soak/fault.go
+++ b/tools/soak/fault.go
@@ -121,6 +121,31 @@
 // statedStream is the stream of the random source of drawStatedFaults.
 const statedStream = 1 << 20
 
+const (
+	// silenceStream is the stream of the random source of drawSilence.
+	silenceStream = 2 << 20
+	// silenceDelay is the shortest time from the end of faultPhase to the silence of all connections: other faults would
+	// excuse most nodes. silenceRange is the random part.
+	silenceDelay = stablePeriod
+	silenceRange = time.Second
+	// silenceChanges is the number of versions that follow, each after silencePause.
+	silenceChanges = 3
+	silencePause   = 200 * time.Millisecond
+)
+
+// drawSilence returns the silence of all open connections after the other faults, or none for seeds with planned faults
+// only.
+func drawSilence(seed uint64) []fault {
+	if seed%plannedSeedInterval == 0 {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, silenceStream))
+	return []fault{{
+		kind: "silence all", node: allNodes,
+		offset: faultPhase + silenceDelay + time.Duration(random.Int64N(int64(silenceRange))),
+	}}
+}
+
 // injections inject faults by kind and return when they are over. The node is nil for faults that affect all nodes.
 var injections = map[string]func(ctx context.Context, m *mesh, n *node, f fault){
 	"change": func(_ context.Context, m *mesh, _ *node, _ fault) { m.writeVersion() },
@@ -170,8 +195,19 @@
 		m.refuseConnections(ctx, n.storeLink, f.duration)
 	},
 	"silence app": func(_ context.Context, _ *mesh, n *node, _ fault) { n.appLink.Silence() },
-	"reset app":   func(_ context.Context, _ *mesh, n *node, _ fault) { n.appLink.Cut() },
-	"replace":     injectServerFault, "crash app": injectServerFault,
+	"silence all": func(ctx context.Context, m *mesh, _ *node, _ fault) {
+		for _, n := range m.nodes {
+			for _, link := range []*faker.Link{n.peerLink, n.storeLink, n.appLink} {
+				link.Silence()
+			}
+		}
+		for range silenceChanges {
+			pause(ctx, silencePause)
+			m.writeVersion()
+		}
+	},
+	"reset app": func(_ context.Context, _ *mesh, n *node, _ fault) { n.appLink.Cut() },
+	"replace":   injectServerFault, "crash app": injectServerFault,
 	"lose answers": injectServerFault, "fail runs": injectServerFault, "leave app": injectServerFault,
 }
 
--- a/tools/soak/mesh.go
+++ b/tools/soak/mesh.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 	faultDurationRange  = 2500 * time.Millisecond // upper bound of the random part of a fault's duration
 	drainDuration       = 2500 * time.Millisecond // of a leaving server
 	restartPause        = time.Second
-	recoveryPhase       = 8 * time.Second // after faultPhase
+	recoveryPhase       = 9 * time.Second // after faultPhase
 	faultCount          = 14
 	plannedSeedInterval = 4
 )
@@ -77,7 +78,7 @@
 	defer cancel()
 	m := &mesh{seed: seed, store: faker.NewPlatform(), random: rand.New(rand.NewPCG(seed, 1))}
 	m.store.RecordWrites()
-	m.faults = append(drawFaults(m.random, seed, o.nodes), drawStatedFaults(seed, o.nodes)...)
+	m.faults = slices.Concat(drawFaults(m.random, seed, o.nodes), drawStatedFaults(seed, o.nodes), drawSilence(seed))
 	if err := m.start(ctx, network, o, dir); err != nil {
 		return report{}, err
 	}
