registrar: reject an id that no header can carry

What callers would see: each request to the upstream ends as unknown, after a heartbeat of another writer with a line feed in its id: net/http refuses to send it. The two new cases of TestHeartbeatsOfOtherSenders fail before.

Also renames: exchange of the proof of refusals is now usedConnection, since exchanges between nodes have that name elsewhere.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -243,7 +243,7 @@
 	}
 	c.job.Remaining, c.job.Expires = remaining-2*reserve, c.deadline
 	bounded, cancel := context.WithTimeout(ctx, (remaining - reserve).Duration())
-	traced, used := trace(bounded)
+	traced, used := traceConnection(bounded)
 	watch := e.watcher.begin(c, member.Peer, cancel)
 	response, err := e.transport.RoundTrip(c.request(traced, member.Peer))
 	if err != nil {
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -13,24 +13,24 @@
 // A refusal proves that a request did not run only if it cannot be an earlier one that the server wrote once more: it
 // is the first response of its connection, or it names the request and no earlier refusal did.
 
-// exchange describes the connection of one HTTP exchange.
-type exchange struct {
+// usedConnection is the connection of one HTTP exchange.
+type usedConnection struct {
 	conn  net.Conn // nil if the exchange got none
 	first bool     // no exchange used the connection before
 }
 
-// trace returns a context for a request and the exchange that is filled in when the request gets a connection.
-func trace(ctx context.Context) (context.Context, *exchange) {
-	x := &exchange{}
+// traceConnection returns a context for a request, and the connection, which is known once the request has one.
+func traceConnection(ctx context.Context) (context.Context, *usedConnection) {
+	u := &usedConnection{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		x.conn, x.first = info.Conn, !info.Reused
-	}}), x
+		u.conn, u.first = info.Conn, !info.Reused
+	}}), u
 }
 
-// abandon closes the connection, whose next response would belong to this exchange.
-func (x *exchange) abandon() {
-	if x.conn != nil {
-		_ = x.conn.Close()
+// abandon closes the connection, whose next response may still belong to this exchange.
+func (u *usedConnection) abandon() {
+	if u.conn != nil {
+		_ = u.conn.Close()
 	}
 }
 
@@ -71,7 +71,7 @@
 }
 
 // provesNotRun reports whether the refusal of an upstream belongs to the attempt.
-func (h *Host) provesNotRun(x *hostAttempt, response *http.Response, used *exchange) bool {
+func (h *Host) provesNotRun(x *hostAttempt, response *http.Response, used *usedConnection) bool {
 	again := h.refusals.add(h.Clock.Now(), x.ID, x.deadline+attemptGrace)
 	return used.first || response.Header.Get(headerID) == x.ID && !again
 }
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -45,7 +45,7 @@
 // receive reads the response of a host node. Up to maxBufferedBytes are read before anything is delivered, so that a
 // truncated response can be retried.
 func receive(
-	ctx context.Context, c *call, response *http.Response, used *exchange, cancel context.CancelFunc,
+	ctx context.Context, c *call, response *http.Response, used *usedConnection, cancel context.CancelFunc,
 ) *attemptResult {
 	result := &attemptResult{
 		status: response.StatusCode, header: response.Header, length: response.ContentLength, cancel: cancel,
@@ -90,7 +90,7 @@
 // matches reports whether a response belongs to this attempt. Responses without a Jasmine-Answers header are refusals
 // of a host node that could not decode the request; they carry no response of the upstream, and count only as the first
 // response of a connection.
-func (c *call) matches(response *http.Response, used *exchange) bool {
+func (c *call) matches(response *http.Response, used *usedConnection) bool {
 	attempt := response.Header.Get(headerAnswers)
 	if attempt == "" {
 		return used.first && response.Header.Get(HeaderOutcome) != string(classifier.OutcomeAnswered)
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -31,7 +31,7 @@
 		return nil, classifier.Refuse(classifier.CodeBadRequest, j.Call, "request target: %v", err)
 	}
 	sent := h.Clock.Now()
-	traced, used := trace(ctx)
+	traced, used := traceConnection(ctx)
 	response, err := h.upstreamTransport.RoundTrip(request.WithContext(traced))
 	if err == nil || !isDialError(err) {
 		x.writer.Header()[headerReached] = []string{"1"}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -22,6 +23,8 @@
 	checkTimeout timekeeper.Millis = 300
 	// maxSequence bounds the sequence of a heartbeat: larger integers are not exact in JSON.
 	maxSequence = 1 << 53
+	// maxIDBytes bounds the id of an upstream.
+	maxIDBytes = 128
 	// maxAhead bounds how far the start of an upstream may lie in the future, in ms. The clocks of the machine and of the
 	// node may differ.
 	maxAhead = 24 * 60 * timekeeper.Minute
@@ -113,7 +116,7 @@
 // check fails for a heartbeat of another sender.
 func (r *Registrar) check(b *Heartbeat, now timekeeper.Millis) error {
 	switch {
-	case b.Service != r.options.Service || b.Address != r.options.Address || b.ID == "":
+	case b.Service != r.options.Service || b.Address != r.options.Address || !validID(b.ID):
 		return classifier.New(classifier.CodeBadRequest, "heartbeat",
 			"instance %.64q of service %.64q at %.64q is not the upstream of this node", b.ID, b.Service, b.Address)
 	case b.Slots <= 0 || b.Slots > tracker.MaxSlots:
@@ -124,6 +127,12 @@
 	return checkIncarnation(b.Incarnation, now)
 }
 
+// validID reports whether an id can be sent in a header: printable ASCII without spaces.
+func validID(id string) bool {
+	return id != "" && len(id) <= maxIDBytes &&
+		!strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
 // checkIncarnation fails for a start that lies too far in the future.
 func checkIncarnation(incarnation uint64, now timekeeper.Millis) error {
 	if incarnation > uint64(now+maxAhead) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -170,6 +171,9 @@
 		"address": func(b *Heartbeat) { b.Address = "127.0.0.1:10" },
 		"slots":   func(b *Heartbeat) { b.Slots = 0 },
 		"id":      func(b *Heartbeat) { b.ID = "" },
+		// An id that no header can carry, so that each request to the upstream would fail.
+		"id with a line feed": func(b *Heartbeat) { b.ID = "i\n1" },
+		"id too long":         func(b *Heartbeat) { b.ID = strings.Repeat("i", 129) },
 		// Values that no upstream has. A node that believed one would take all later heartbeats for late ones, or publish
 		// a membership entry that other nodes refuse.
 		"too many slots":         func(b *Heartbeat) { b.Slots = 4_000_000_000 },
