--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -174,3 +174,24 @@
 func (s *switchedGate) Begin() bool      { return !s.closed.Load() }
 func (s *switchedGate) BeginBackground() {}
 func (s *switchedGate) End()             {}
+
+// Guards against a memory of refused ids that grows without a bound, or that counts an id as refused after it has
+// expired.
+func TestRefusedIDsAreBounded(t *testing.T) {
+	var r refusals
+	if r.add(0, "a", 10) || !r.add(9, "a", 10) || r.add(10, "a", 20) {
+		t.Error("an id is known before it was refused, or after it expired, or not in between")
+	}
+	for i := range 3 * maxRefusals {
+		r.add(timekeeper.Millis(i), fmt.Sprint(i), timekeeper.Millis(i+maxRefusals/2))
+		if len(r.expires) > maxRefusals {
+			t.Fatalf("%d ids after %d refusals", len(r.expires), i)
+		}
+	}
+	for i := range 3 * maxRefusals {
+		r.add(0, fmt.Sprint(i), 1<<40) // none expires
+		if len(r.expires) > maxRefusals {
+			t.Fatalf("%d ids, of which none expires", len(r.expires))
+		}
+	}
+}
