messenger: a data race and a chance in the test of silent connections

Cause: both are in the test, not in the client. The count is atomic now, and the link delays bytes, so that in virtual time all four calls overlap. The bounds are the same: 5 connections, 1 failed call.

--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -22,14 +22,15 @@
 func TestSilenceOfAllConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, _, network := startServer(t, "a")
-		link := faker.NewLink(faker.LinkOptions{}, func(ctx context.Context) (net.Conn, error) {
+		delayed := faker.LinkOptions{Delay: 5} // so that calls at the same time overlap
+		link := faker.NewLink(delayed, func(ctx context.Context) (net.Conn, error) {
 			return network.Dial(ctx, "tcp", "peer")
 		})
 		go link.Serve(t.Context(), network.Listen("far"))
 		client := NewClient(Options{Zone: "a", Dial: network.dial})
 		defer client.Close()
 		var group sync.WaitGroup
-		for range 4 { // calls at the same time open a connection each
+		for range 4 { // each opens a connection
 			group.Go(func() { _ = client.Call(t.Context(), "far", "Echo.Say", &text{"x"}, &text{}, 1000) })
 		}
 		group.Wait()
@@ -40,8 +41,8 @@
 				failures++
 			}
 		}
-		if network.dials != 5 || failures != 1 {
-			t.Errorf("%d connections opened and %d calls failed, not 5 and 1", network.dials, failures)
+		if network.dials.Load() != 5 || failures != 1 {
+			t.Errorf("%d connections opened and %d calls failed, not 5 and 1", network.dials.Load(), failures)
 		}
 	})
 }
@@ -70,8 +71,9 @@
 				t.Errorf("%s: got %q and %v, want code %d", c.method, reply.Text, err, c.code)
 			}
 		}
-		if network.dials > 2 {
-			t.Errorf("%d connections opened, want at most 2: the first, and another after the oversized request", network.dials)
+		if network.dials.Load() > 2 {
+			t.Errorf("%d connections opened, want at most 2: the first, and another after the oversized request",
+				network.dials.Load())
 		}
 	})
 }
--- a/internal/messenger/network_test.go
+++ b/internal/messenger/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
@@ -14,11 +15,11 @@
 type countingNetwork struct {
 	*faker.Network
 	server *Server
-	dials  int
+	dials  atomic.Int64
 }
 
 func (n *countingNetwork) dial(ctx context.Context, address string) (net.Conn, error) {
-	n.dials++
+	n.dials.Add(1)
 	return n.Dial(ctx, "tcp", address)
 }
 
