--- a/internal/forwarder/head_test.go
+++ b/internal/forwarder/head_test.go
@@ -17,7 +17,8 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
 )
 
-// cutAnswer is an answer that a server breaks off after some bytes. Its headers follow the %s.
+// cutAnswer is an answer that a server breaks off after some bytes. The %s in its head stands for the header lines that
+// a host node adds.
 type cutAnswer struct {
 	head, body string
 	byClose    bool // the body has no length and ends with the connection
@@ -47,7 +48,14 @@
 	},
 }
 
-// cuts returns the lengths at which the answer is broken off: all in a short one, and one in 9,973 in a long body.
+const (
+	// closeCuts is the start of a body in which the answer is broken off after each byte, and cutStep the distance of two
+	// cuts after that.
+	closeCuts = 20
+	cutStep   = 9973
+)
+
+// cuts returns the lengths at which the answer is broken off.
 func (a *cutAnswer) cuts(head string) []int {
 	end := len(head) + len(a.body)
 	if a.byClose {
@@ -56,8 +64,8 @@
 	var cuts []int
 	for i := 0; i < end; i++ {
 		cuts = append(cuts, i)
-		if i >= len(head)+20 {
-			i += 9972
+		if i >= len(head)+closeCuts {
+			i += cutStep - 1
 		}
 	}
 	return cuts
--- a/internal/forwarder/refusal_test.go
+++ b/internal/forwarder/refusal_test.go
@@ -23,12 +23,11 @@
 	answerText  = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran"
 )
 
-// repeatingUpstream refuses or answers the first request on a connection. It responds to each later one with a refusal,
-// and runs it all the same if that is only a copy of the first response.
+// repeatingUpstream refuses the first request on a connection, or answers it and refuses the second. It responds to
+// each later one with a copy of that refusal, and then with the answer of a run.
 type repeatingUpstream struct {
 	answerFirst bool
 	echo        bool // refusals have the id of the request that they refuse
-	runs        int
 }
 
 func (u *repeatingUpstream) dial(context.Context, string, string) (net.Conn, error) {
@@ -58,7 +57,6 @@
 			refusal = fmt.Sprintf(refusalText, id)
 			_, err = io.WriteString(conn, refusal)
 		default:
-			u.runs++
 			_, err = io.WriteString(conn, refusal)
 			<-time.After(50 * time.Millisecond)
 			_, _ = io.WriteString(conn, answerText)
