--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -7,11 +7,20 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-var lastID atomic.Int64
+var (
+	lastID   atomic.Int64
+	answered sync.Map // ids of the requests with a complete answer of a server
+)
+
+func hasAnswer(id string) bool {
+	_, ok := answered.Load(id)
+	return ok
+}
 
 func newID() string { return fmt.Sprintf("%016x", 0x9c41d07be2a30000+uint64(lastID.Add(1))) }
 
@@ -53,6 +62,9 @@
 		}
 	}
 	a.err, a.ended = err, time.Now()
+	if a.stamp != "" && a.status != 0 {
+		answered.Store(a.id, true)
+	}
 	record.add("client: %s ended after %d ms with status %d, stamp %q, error %v", a.id,
 		a.ended.Sub(a.sent).Milliseconds(), a.status, a.stamp, err)
 	return a
--- /dev/null
+++ b/review/stand/stray.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	drainS  = 2 * time.Second // DrainS of the small sites
+	lingerS = 5 * time.Second // how long the server serves after the confirmation; the pages: "at times many seconds"
+)
+
+// stray: a ping of another writer, with fields missing, reaches a node before its server leaves.
+func init() {
+	cases["stray"] = func(trouble bool) (bool, string) {
+		s := newStore()
+		platform = serve(s)
+		s.put("config", "main", configuration(7, []string{"desk"}, route("r-check", "/check/", "unsafe", "desk", 2, 1.2, 2)))
+		var nodes []*node
+		var apps []*server
+		for i := range 3 {
+			app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), "desk", "", 6, 100*time.Millisecond)
+			n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), "a", "desk", app.address)
+			app.node = n
+			n.start()
+			go app.beat()
+			nodes, apps = append(nodes, n), append(apps, app)
+		}
+		for _, n := range nodes {
+			waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
+		}
+		waitFor("a first answer", 15*time.Second, func() bool {
+			return send(nodes[0], "POST", "/check/0", nil, 0, 2*time.Second).status == 200
+		})
+		time.Sleep(4 * time.Second)
+		end := make(chan struct{})
+		var clients sync.WaitGroup
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				clients.Go(func() { send(nodes[i%3], "POST", fmt.Sprintf("/check/%d", i), nil, 0, 4*time.Second) })
+			}
+		})
+		leaving := apps[0]
+		time.Sleep(2 * time.Second)
+		if trouble {
+			// Zone, Version and ColdRemainingS are missing.
+			acknowledged := ping(nodes[0].control, http.MethodPut, leaving.id, map[string]any{
+				"Service": leaving.service, "Address": leaving.address, "Slots": 6, "State": "ready", "Sequence": 100,
+				"born": time.Now().UnixMilli(),
+			})
+			record.add("another writer: ping without Zone, Version and ColdRemainingS to %s, acknowledged %v", nodes[0].name,
+				acknowledged)
+		}
+		time.Sleep(500 * time.Millisecond)
+		leaving.draining.Store(true)
+		waitFor("the confirmation", 5*time.Second, leaving.ping)
+		confirmed := time.Now()
+		record.add("server %s: draining is confirmed", leaving.id)
+		time.Sleep(lingerS)
+		ping(nodes[0].control, http.MethodDelete, leaving.id, nil)
+		record.add("server %s: deregistered, ends", leaving.id)
+		leaving.stop()
+		time.Sleep(time.Second)
+		close(end)
+		clients.Wait()
+		late, cut, last := 0, 0, time.Duration(0)
+		runsMutex.Lock()
+		defer runsMutex.Unlock()
+		for _, list := range runs {
+			for _, r := range list {
+				if after := r.at.Sub(confirmed); r.server == leaving.id && after > drainS {
+					late++
+					if !hasAnswer(r.id) {
+						cut++
+					}
+					last = max(last, after)
+				}
+			}
+		}
+		return late == 0, fmt.Sprintf("%d requests reached %s later than %v after the confirmation that it is draining, the last one %.1f s after; "+
+			"%d of them got no answer of the server, which had ended", late, leaving.id, drainS, last.Seconds(), cut)
+	}
+}
