--- a/review/stand/mesh.go
+++ b/review/stand/mesh.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,12 +65,21 @@
 
 func (r *recorder) close() { _ = r.file.Close() }
 
+// Ports of the nodes lie below the range from which systems take the ports of outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
 // freeAddress returns a loopback address whose port was free a moment ago.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
 }
 
 // serve runs an HTTP server on a free loopback address.
@@ -99,9 +109,9 @@
 )
 
 // newNode writes the settings of a node, which are the template of the deploy file with its fields filled in.
-func newNode(name, zone, service, app string) *node {
+func newNode(name, service, app string) *node {
 	n := &node{
-		name: name, zone: zone, service: service, app: app, caller: freeAddress(), peer: freeAddress(),
+		name: name, zone: "a", service: service, app: app, caller: freeAddress(), peer: freeAddress(),
 		admin: freeAddress(), ready: freeAddress(), control: freeAddress(),
 	}
 	template, err := os.ReadFile(filepath.Join(root, "deploy/settings.yaml"))
@@ -109,7 +119,7 @@
 	text := string(template)
 	for _, pair := range [][2]string{
 		{"{{NodeName}}", name},
-		{"{{Zone}}", zone},
+		{"{{Zone}}", n.zone},
 		{"{{Service}}", service},
 		{"{{ListenAddrs.Outbound}}", n.caller},
 		{"{{ListenAddrs.Inbound}}", n.peer},
@@ -149,7 +159,7 @@
 	command, ended := n.command, n.ended
 	go func() {
 		err := command.Wait()
-		record.add("node %s: process %d ended: %v", n.name, command.Process.Pid, err)
+		record.add("node %s: process %d ended: %v, last output: %s", n.name, command.Process.Pid, err, n.lastOutput())
 		close(ended)
 	}()
 	started = append(started, n)
@@ -157,9 +167,11 @@
 		n.peer, n.control)
 }
 
-func (n *node) signal(signal syscall.Signal) {
-	record.add("node %s: %v", n.name, signal)
-	_ = n.command.Process.Signal(signal)
+// lastOutput returns the end of what the node has written.
+func (n *node) lastOutput() string {
+	text, err := os.ReadFile(n.output.Name())
+	must(err)
+	return strings.TrimSpace(string(text[max(len(text)-200, 0):]))
 }
 
 // running reports whether the process has not ended.
@@ -226,7 +238,7 @@
 
 // configuration returns the object config/main with one host. Routes are maps with the names of the protocol.
 func configuration(version int, services []string, routes ...map[string]any) map[string]any {
-	list := []any{}
+	list := make([]any, 0, len(services))
 	for _, s := range services {
 		list = append(list, map[string]any{
 			"Name": s, "HealthPath": "/health", "MaxConnections": 130, "Protocol": "h1", "Tls": false,
@@ -245,3 +257,28 @@
 		"Priority": priority, "Service": service, "MaxAttempts": 2,
 	}
 }
+
+// startMesh starts the store with a first configuration, and a node and a server for each service in the list. It returns
+// when the nodes are ready, a first request was answered and the members have found each other.
+func startMesh(first map[string]any, path string, work time.Duration, services ...string) (*store, []*node, []*server) {
+	s := newStore()
+	platform = serve(s)
+	s.put("config", "main", first)
+	nodes, apps := make([]*node, 0, len(services)), make([]*server, 0, len(services))
+	for i, service := range services {
+		app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), service, 6, work)
+		n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), service, app.address)
+		app.node = n
+		n.start()
+		go app.beat()
+		nodes, apps = append(nodes, n), append(apps, app)
+	}
+	for _, n := range nodes {
+		waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
+	}
+	waitFor("a first answer", 15*time.Second, func() bool {
+		return send(nodes[0], http.MethodPost, path, nil, 0, 2*time.Second).status == http.StatusOK
+	})
+	time.Sleep(4 * time.Second)
+	return s, nodes, apps
+}
--- a/review/stand/repeat.go
+++ b/review/stand/repeat.go
@@ -12,41 +12,26 @@
 // repeat: a server runs unsafe requests and loses some of the answers.
 func init() {
 	cases["repeat"] = func(trouble bool) (bool, string) {
-		s := newStore()
-		platform = serve(s)
-		s.put("config", "main", configuration(7, []string{"desk"}, route("r-check", "/check/", "unsafe", "desk", 2, 1.2, 2)))
+		_, nodes, apps := startMesh(configuration(7, []string{"desk"},
+			route("r-check", "/check/", "unsafe", "desk", 2, 1.2, 2)), "/check/0", 20*time.Millisecond, "desk", "desk", "desk", "desk", "desk")
 		var losing atomic.Bool
-		var answered, lost atomic.Int64
-		var nodes []*node
-		for i := range 5 {
-			app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), "desk", "", 6, 20*time.Millisecond)
-			if i < 3 {
-				app.after = func(w http.ResponseWriter, _ *http.Request, id string) bool {
-					if !losing.Load() || answered.Add(1)%5 > 1 { // two of five answers
-						return false
-					}
-					lost.Add(1)
-					conn, _, err := w.(http.Hijacker).Hijack()
-					must(err)
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					_ = conn.Close()
-					record.add("server %s: ran %s and resets the connection in place of the answer", app.id, id)
-					return true
+		var answers, lost atomic.Int64
+		for _, app := range apps[:3] {
+			app.after.Store(func(w http.ResponseWriter, id string) bool {
+				if !losing.Load() || answers.Add(1)%5 > 1 { // two of five answers
+					return false
 				}
-			}
-			n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), "a", "desk", app.address)
-			app.node = n
-			n.start()
-			go app.beat()
-			nodes = append(nodes, n)
-		}
-		for _, n := range nodes {
-			waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
+				lost.Add(1)
+				conn, _, err := w.(http.Hijacker).Hijack()
+				must(err)
+				if tcp, ok := conn.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0)
+				}
+				_ = conn.Close()
+				record.add("server %s: ran %s and resets the connection in place of the answer", app.id, id)
+				return true
+			})
 		}
-		waitFor("a first answer", 15*time.Second, func() bool {
-			return send(nodes[0], http.MethodOptions, "/check/0", nil, 0, 2*time.Second).status == 200
-		})
-		time.Sleep(2 * time.Second)
 		begin := time.Now()
 		var group sync.WaitGroup
 		for i := 0; time.Since(begin) < 8*time.Second; i++ {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -24,8 +24,8 @@
 	draining    atomic.Bool
 	stopped     chan struct{}
 	work        time.Duration
-	// after is called at the end of a run instead of the answer; false lets the server answer.
-	after func(w http.ResponseWriter, r *http.Request, id string) bool
+	// after, if it is set, is called at the end of a run in place of the answer; false lets the server answer.
+	after atomic.Value // func(w http.ResponseWriter, id string) bool
 	http  *http.Server
 }
 
@@ -47,12 +47,9 @@
 	return len(runs[r.id])
 }
 
-// newServer listens on a loopback address, a free one if address is empty.
-func newServer(id, service, address string, slots int, work time.Duration) *server {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", address)
+// newServer listens on a free loopback address.
+func newServer(id, service string, slots int, work time.Duration) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	s := &server{
 		id: id, service: service, address: listener.Addr().String(), slots: make(chan struct{}, slots), work: work,
@@ -147,7 +144,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	if s.after != nil && s.after(w, r, id) {
+	if after, ok := s.after.Load().(func(http.ResponseWriter, string) bool); ok && after(w, id) {
 		return
 	}
 	fmt.Fprintf(w, "%s %s %d", id, r.RequestURI, len(body))
--- a/review/stand/slash.go
+++ b/review/stand/slash.go
@@ -10,29 +10,13 @@
 // they have an encoded slash, which is part of a segment, where the prefix has a slash.
 func init() {
 	cases["slash"] = func(trouble bool) (bool, string) {
-		s := newStore()
-		platform = serve(s)
 		services := []string{"desk", "archive"}
 		before := route("r-book", "/book/", "unsafe", "desk", 2, 1.2, 2)
-		s.put("config", "main", configuration(7, services, before))
-		var nodes []*node
+		s, nodes, apps := startMesh(configuration(7, services, before), "/book/0", 20*time.Millisecond, "desk", "desk", "archive")
 		serviceOf := map[string]string{}
-		for i, service := range []string{"desk", "desk", "archive"} {
-			app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), service, "", 6, 20*time.Millisecond)
-			n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), "a", service, app.address)
-			app.node = n
-			serviceOf[app.id] = service
-			n.start()
-			go app.beat()
-			nodes = append(nodes, n)
+		for _, app := range apps {
+			serviceOf[app.id] = app.service
 		}
-		for _, n := range nodes {
-			waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
-		}
-		waitFor("a first answer", 15*time.Second, func() bool {
-			return send(nodes[0], "POST", "/book/0", nil, 0, 2*time.Second).status == 200
-		})
-		time.Sleep(4 * time.Second)
 		begin := time.Now()
 		var group sync.WaitGroup
 		changed := false
--- a/review/stand/stray.go
+++ b/review/stand/stray.go
@@ -15,26 +15,8 @@
 // stray: a ping of another writer, with fields missing, reaches a node before its server leaves.
 func init() {
 	cases["stray"] = func(trouble bool) (bool, string) {
-		s := newStore()
-		platform = serve(s)
-		s.put("config", "main", configuration(7, []string{"desk"}, route("r-check", "/check/", "unsafe", "desk", 2, 1.2, 2)))
-		var nodes []*node
-		var apps []*server
-		for i := range 3 {
-			app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), "desk", "", 6, 100*time.Millisecond)
-			n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), "a", "desk", app.address)
-			app.node = n
-			n.start()
-			go app.beat()
-			nodes, apps = append(nodes, n), append(apps, app)
-		}
-		for _, n := range nodes {
-			waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
-		}
-		waitFor("a first answer", 15*time.Second, func() bool {
-			return send(nodes[0], "POST", "/check/0", nil, 0, 2*time.Second).status == 200
-		})
-		time.Sleep(4 * time.Second)
+		_, nodes, apps := startMesh(configuration(7, []string{"desk"},
+			route("r-check", "/check/", "unsafe", "desk", 2, 1.2, 2)), "/check/0", 100*time.Millisecond, "desk", "desk", "desk")
 		end := make(chan struct{})
 		var clients sync.WaitGroup
 		clients.Go(func() {
--- a/review/stand/uploads.go
+++ b/review/stand/uploads.go
@@ -80,26 +80,9 @@
 // uploads: a burst of long bodies, each within the limit that the configuration states.
 func init() {
 	cases["uploads"] = func(trouble bool) (bool, string) {
-		s := newStore()
-		platform = serve(s)
-		s.put("config", "main", configuration(7, []string{"desk"},
-			route("r-upload", "/upload/", "unsafe", "desk", 7, 1.2, 2), route("r-check", "/check/", "safe", "desk", 1.5, 0.5, 1)))
-		var nodes []*node
-		for i := range 3 {
-			app := newServer(fmt.Sprintf("i-%08x", 0x7f3a9100+i), "desk", "", 6, 20*time.Millisecond)
-			n := newNode(fmt.Sprintf("sidecar-a-%d", i+1), "a", "desk", app.address)
-			app.node = n
-			n.start()
-			go app.beat()
-			nodes = append(nodes, n)
-		}
-		for _, n := range nodes {
-			waitFor("readiness of "+n.name, 15*time.Second, n.isReady)
-		}
-		waitFor("a first answer", 15*time.Second, func() bool {
-			return send(nodes[0], "GET", "/check/0", nil, 0, 2*time.Second).status == 200
-		})
-		time.Sleep(2 * time.Second)
+		_, nodes, _ := startMesh(configuration(7, []string{"desk"},
+			route("r-upload", "/upload/", "unsafe", "desk", 7, 1.2, 2),
+			route("r-check", "/check/", "safe", "desk", 1.5, 0.5, 1)), "/check/0", 20*time.Millisecond, "desk", "desk", "desk")
 		end := make(chan struct{})
 		peaks, kills := make([]atomic.Int64, 3), make([]atomic.Int64, 3)
 		var watchers, checks sync.WaitGroup
