--- a/review/stand2/ahead.go
+++ b/review/stand2/ahead.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,10 +23,10 @@
 	slowSenders  = 1000
 	bodyLength   = 1000
 	bytePause    = 400 * time.Millisecond // between two bytes of a slow body
-	aheadClients = 10
+	aheadClients = 14
 	shortWork    = 350 * time.Millisecond
 	longWork     = 2100 * time.Millisecond
-	playedFor    = 25 * time.Second
+	playedFor    = 45 * time.Second
 	mayLose      = 3
 )
 
@@ -77,6 +78,7 @@
 					if _, err = io.WriteString(conn, text); err != nil {
 						break
 					}
+					wait := 0.0 // as long as the answers say, in seconds
 					for _, id := range ids {
 						_ = conn.SetReadDeadline(time.Now().Add(6 * time.Second))
 						var response *http.Response
@@ -85,6 +87,9 @@
 						}
 						if err == nil {
 							answered.Add(1)
+							if seconds, failure := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); failure == nil {
+								wait = max(wait, seconds)
+							}
 							r.add("client %d: %s gets %d", i, id, response.StatusCode)
 							continue
 						}
@@ -97,6 +102,7 @@
 						}
 						break
 					}
+					time.Sleep(time.Duration(min(wait, 2) * float64(time.Second)))
 				}
 				_ = conn.Close()
 				time.Sleep(100 * time.Millisecond)
