--- a/review/stand2/drain.go
+++ b/review/stand2/drain.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -18,6 +19,9 @@
 		drainTime = 2 * time.Second // DrainS
 		serveTime = 10 * time.Second
 		beat      = 870 * time.Millisecond // HeartbeatS
+		// clientsEach is the number of clients of each machine, which with this work send some 60 requests a second.
+		clientsEach = 12
+		work        = 160 * time.Millisecond
 		// foreignPings is the number of pings of another writer, one each HeartbeatS.
 		foreignPings = 4
 	)
@@ -35,16 +39,19 @@
 	}
 	awaitReady(nodes...)
 	for i, n := range nodes {
-		servers = append(servers, startServer(n, fmt.Sprintf("i-%d", i+1), 18, beat, func(started run) {
+		started := startServer(n, fmt.Sprintf("i-%d", i+1), 18, beat, func(started run) {
 			mutex.Lock()
 			defer mutex.Unlock()
 			runs = append(runs, started)
-		}))
+		})
+		started.work = func(*http.Request) time.Duration { return work }
+		servers = append(servers, started)
 	}
 	time.Sleep(4 * time.Second)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for i, n := range nodes {
+	for i := range clientsEach * len(nodes) {
+		n := nodes[i%len(nodes)]
 		clients.Go(func() {
 			for k := 0; ; k++ {
 				select {
