A response with a malformed header name is not passed on

What callers saw: a success whose head had a line such as "X Odd: v" or "X-Odd : v" on its way from the upstream. The line itself was dropped, but after "Content-Length : 4" or "Transfer-Encoding : chunked" the body was what arrived until the end of the connection: more bytes than the upstream stated, or the sizes of the chunks among them, with a length that made it look complete.

Cause: net/http accepts blanks in the names of headers and keeps them as names of their own, so that a length or a coding written this way does not count.

Change: roundTrip, through which both the host node and the entry node get responses, checks the names and closes the connection after a malformed one. The request then has an unknown outcome, as after any head that net/http rejects, and is logged as an attempt without an answer.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 // usedConnection is the connection of one HTTP exchange.
@@ -54,7 +56,8 @@
 }
 
 // roundTrip sends the request that build returns over a transport. When a kept connection turns out to be closed, the
-// request is built and sent again over another one if again is set.
+// request is built and sent again over another one if again is set. A malformed response is an error, after which the
+// connection is closed.
 func roundTrip(
 	ctx context.Context, transport http.RoundTripper, again bool, build func(ctx context.Context) *http.Request,
 ) (*http.Response, *usedConnection, error) {
@@ -62,7 +65,12 @@
 		traced, used := traceConnection(ctx)
 		response, err := transport.RoundTrip(build(traced))
 		if err == nil {
-			return response, used, nil
+			if err = verifier.Check(response); err == nil {
+				return response, used, nil
+			}
+			_ = response.Body.Close()
+			used.abandon()
+			return nil, used, err
 		}
 		closed := used.closedBefore()
 		used.unsent = closed || used.conn == nil
--- /dev/null
+++ b/internal/verifier/verifier_test.go
@@ -0,0 +1,28 @@
+package verifier
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Guards against a name of a header that is passed on although it is none, and against a refusal of a proper one.
+func TestNamesOfHeaders(t *testing.T) {
+	const others = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for c := range 256 {
+		name := "X" + string([]byte{byte(c)}) + "Odd"
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(
+			"HTTP/1.1 200 OK\r\n"+name+": v\r\nContent-Length: 0\r\n\r\n")), nil)
+		if err == nil {
+			err = Check(response)
+			_ = response.Body.Close()
+		}
+		if proper := c == ':' || strings.IndexByte(others, byte(c)) >= 0; proper != (err == nil) {
+			t.Errorf("%q: error %v", name, err)
+		}
+	}
+	if Check(&http.Response{Header: http.Header{"": {"v"}}}) == nil {
+		t.Error("an empty name is accepted")
+	}
+}
