A status out of 200 to 599 is no answer, also from a host node

What callers saw: an upstream's status 600 or 999 as an answer. Of a host node that sends 000, a caller on its own connection saw the connection close without an answer, after a panic of the handler ("invalid WriteHeader code 0").

Cause: the host node checked for a status below 200 only, and the entry node did not check that of a host node.

An upstream's status 000, 099 or 199 got 502 before, too.

Change: the check moved to the place where both nodes get their responses. RFC 9110, 15, calls statuses out of 100 to 599 invalid.

--- a/internal/forwarder/head_test.go
+++ b/internal/forwarder/head_test.go
@@ -195,38 +195,72 @@
 	}
 }
 
+// serveFaultyHost makes a node whose responses answer returns the only member of the mesh.
+func serveFaultyHost(t *testing.T, m *mesh, answer func(j *job) string) {
+	t.Helper()
+	listener := m.network.Listen("faulty:1")
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil || request.Method == http.MethodConnect {
+					return
+				}
+				j, err := decodeJob(request.Header)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, answer(j))
+			}()
+		}
+	}()
+	m.members[0] = tracker.Member{
+		Name: "faulty", Zone: "a", Service: service, Peer: "faulty:1", Slots: 1000, State: tracker.StateReady,
+	}
+}
+
 // Guards against a response that a host node breaks off and that a client gets as a whole one.
 func TestHostBreaksOff(t *testing.T) {
 	for name, a := range cutAnswers {
 		cut, head := 0, ""
 		inBubble(t, nil, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
-			listener := m.network.Listen("faulty:1")
-			defer func() { _ = listener.Close() }()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer func() { _ = conn.Close() }()
-						request, err := http.ReadRequest(bufio.NewReader(conn))
-						if err != nil || request.Method == http.MethodConnect {
-							return
-						}
-						j, err := decodeJob(request.Header)
-						if err != nil {
-							return
-						}
-						_, _ = io.WriteString(conn, cutText(&a, fmt.Sprintf(a.head, hostHeaders(j)), &cut))
-					}()
+			serveFaultyHost(t, m, func(j *job) string { return cutText(&a, fmt.Sprintf(a.head, hostHeaders(j)), &cut) })
+			head = fmt.Sprintf(a.head, hostHeaders(&job{ID: newID(0)}))
+			checkRequests(t, m, name, &a, &cut, head)
+		})
+	}
+}
+
+// Guards against a malformed response of a host node that ends the handler of the entry node with a panic, or that a
+// client gets.
+func TestHostAnswersMalformed(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":          "HTTP/1.1 000 Odd\r\n",
+		"status 099":          "HTTP/1.1 099 Odd\r\n",
+		"status 600":          "HTTP/1.1 600 Odd\r\n",
+		"another protocol":    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: Upgrade\r\n",
+		"a blank in a name":   "HTTP/1.1 200 OK\r\nX Odd: odd\r\n",
+		"a blank after one":   "HTTP/1.1 200 OK\r\nX-Odd : odd\r\n",
+		"a control character": "HTTP/1.1 200 OK\r\nX\x01Odd: odd\r\n",
+	} {
+		inBubble(t, nil, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
+			m.entry.noResolve = true
+			serveFaultyHost(t, m, func(j *job) string { return head + hostHeaders(j) + "Content-Length: 4\r\n\r\ndone" })
+			defer func() {
+				if cause := recover(); cause != nil {
+					t.Errorf("%s: panic: %v", name, cause)
 				}
 			}()
-			m.members[0] = tracker.Member{
-				Name: "faulty", Zone: "a", Service: service, Peer: "faulty:1", Slots: 1000, State: tracker.StateReady,
+			got := m.send(t.Context(), http.MethodPost, "/book", "x")
+			if outcomeOf(got) != classifier.OutcomeUnknown || got.Code != http.StatusBadGateway {
+				t.Errorf("%s: status %d, outcome %s: %s", name, got.Code, outcomeOf(got), got.Body)
 			}
-			head = fmt.Sprintf(a.head, hostHeaders(&job{ID: newID(0)}))
-			checkRequests(t, m, name, &a, &cut, head)
 		})
 	}
 }
@@ -241,7 +275,7 @@
 // Guards against a response that is no final answer, such as a change of protocol or a status that cannot be sent on:
 // it must not reach the client, take a slot for good or end the handler with a panic.
 func TestUpstreamAnswersWithoutFinalStatus(t *testing.T) {
-	for _, status := range []string{"101 Switching Protocols", "000 Odd", "099 Odd", "199 Odd"} {
+	for _, status := range []string{"101 Switching Protocols", "000 Odd", "099 Odd", "199 Odd", "600 Odd", "999 Odd"} {
 		adjust := func(o *Options) {
 			if o.Upstream == "" {
 				return
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -48,12 +48,6 @@
 		}
 		return nil, upstreamFailure(ctx, j, used, err)
 	}
-	if response.StatusCode < http.StatusOK {
-		_ = response.Body.Close()
-		used.abandon()
-		return nil, classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the upstream answered with status %d",
-			response.StatusCode)
-	}
 	refused := response.Header.Get(HeaderOutcome) == string(classifier.OutcomeNotRun)
 	if refused && !h.provesNotRun(x, response, used) {
 		_ = response.Body.Close()
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -7,8 +7,15 @@
 	"strings"
 )
 
-// Check returns an error for a response whose head is malformed. Where its body ends is not known then.
+// maxStatus is the highest valid status, see RFC 9110, 15.
+const maxStatus = 599
+
+// Check returns an error for a response that is not a final one or whose head is malformed. Where its body ends is not
+// known then.
 func Check(response *http.Response) error {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return fmt.Errorf("malformed response: status %03d", response.StatusCode)
+	}
 	for name := range response.Header {
 		if !isToken(name) {
 			return fmt.Errorf("malformed response: %.80q is not the name of a header", name)
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -22,7 +22,16 @@
 			t.Errorf("%q: error %v", name, err)
 		}
 	}
-	if Check(&http.Response{Header: http.Header{"": {"v"}}}) == nil {
+	if Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {"v"}}}) == nil {
 		t.Error("an empty name is accepted")
 	}
 }
+
+// Guards against a status that no client may get.
+func TestStatuses(t *testing.T) {
+	for status := -1; status <= 1000; status++ {
+		if err := Check(&http.Response{StatusCode: status}); (err == nil) != (status >= 200 && status < 600) {
+			t.Errorf("status %d: error %v", status, err)
+		}
+	}
+}
