--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -18,6 +18,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 const (
@@ -92,7 +93,9 @@
 }
 
 // httpClient sends each request once; a redirection is an error.
-var httpClient = &http.Client{CheckRedirect: connector.RefuseRedirects}
+var httpClient = &http.Client{
+	Transport: &verifier.Transport{Next: http.DefaultTransport}, CheckRedirect: connector.RefuseRedirects,
+}
 
 // call sends a request and decodes the response into target, unless target is nil. It returns an
 // *administrator.ReplyError if the node refuses the request, CodePeerTimeout if the timeout expires first,
--- a/internal/commander/client_test.go
+++ b/internal/commander/client_test.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// Guards against a malformed response that is taken for the confirmation of a node.
+func TestMalformedResponseIsNoConfirmation(t *testing.T) {
+	for name, head := range faker.MalformedHeads() {
+		server := httptest.NewServer(faker.Raw(head + "Content-Length: 2\r\n\r\n{}"))
+		s := newSession("JASMINE_NODE=" + server.URL)
+		if code := s.execute(t, "drain"); code != 13 {
+			t.Errorf("%s: exit code is %d: %s%s", name, code, s.output.String(), s.errors.String())
+		}
+		server.Close()
+	}
+}
+
 // Guards against terminal injection: an unauthenticated request puts control characters into the audit trail, which
 // the audit command prints.
 func TestOutputHasNoControlCharacters(t *testing.T) {
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 // maxResponseBytes bounds a response of the platform; a list may hold many values.
@@ -45,7 +46,7 @@
 	}
 	return &Client{
 		baseURL:    strings.TrimRight(options.URL, "/"),
-		httpClient: &http.Client{Transport: transport, CheckRedirect: RefuseRedirects},
+		httpClient: &http.Client{Transport: &verifier.Transport{Next: transport}, CheckRedirect: RefuseRedirects},
 		limiter:    rate.NewLimiter(rate.Limit(options.Rate), options.Burst),
 		timeout:    options.Timeout,
 	}
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// Guards against a malformed response that confirms a write.
+func TestClientRejectsMalformedResponses(t *testing.T) {
+	for name, head := range faker.MalformedHeads() {
+		client := newClient(t, faker.Raw(head+"ETag: \"7\"\r\nContent-Length: 0\r\n\r\n"))
+		expect(t, name+", delete", classifier.CodeUnavailable, client.Delete(t.Context(), "head", "head", 7))
+		_, err := client.Put(t.Context(), connector.Object{Kind: "head", Name: "head", Value: []byte("x")})
+		expect(t, name+", put", classifier.CodeUnavailable, err)
+	}
+}
+
 // Guards against a node that exceeds its share of the platform's rate limit.
 func TestClientRateLimitRefusesExcess(t *testing.T) {
 	platform := faker.NewPlatform()
--- /dev/null
+++ b/internal/faker/raw.go
@@ -0,0 +1,29 @@
+package faker
+
+import (
+	"io"
+	"net/http"
+)
+
+// Raw returns a handler that responds with the bytes of a text and closes the connection. They need not be HTTP.
+func Raw(text string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, text)
+	})
+}
+
+// MalformedHeads returns starts of heads, by their names, that a client must not take for the head of a response.
+func MalformedHeads() map[string]string {
+	return map[string]string{
+		"status 000":               "HTTP/1.1 000 Odd\r\n",
+		"status 600":               "HTTP/1.1 600 Odd\r\n",
+		"a blank in a name":        "HTTP/1.1 200 OK\r\nX Odd: odd\r\n",
+		"a blank after a name":     "HTTP/1.1 200 OK\r\nX-Odd : odd\r\n",
+		"a control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Odd: odd\r\n",
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 const (
@@ -68,7 +69,7 @@
 	p := &Prober{options: options}
 	p.transport = &http.Transport{DialContext: p.dial, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}
 	p.client = &http.Client{
-		Transport: p.transport, Timeout: options.Timeout.Duration(),
+		Transport: &verifier.Transport{Next: p.transport}, Timeout: options.Timeout.Duration(),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return p
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -74,6 +75,18 @@
 	}
 }
 
+// Guards against a malformed response that passes for the sign of an upstream in good state.
+func TestMalformedResponse(t *testing.T) {
+	for name, head := range faker.MalformedHeads() {
+		server := httptest.NewServer(faker.Raw(head + "Content-Length: 0\r\n\r\n"))
+		p := New(Options{URL: server.URL})
+		if p.Check(t.Context()) {
+			t.Errorf("%s: the upstream is alive", name)
+		}
+		server.Close()
+	}
+}
+
 // Guards against a slow health endpoint that is mistaken for a crash, and a Run that continues after its context ended.
 func TestSlowEndpoint(t *testing.T) {
 	bubbler.Test(t, func(t *testing.T) {
