The head of the response to CONNECT between nodes is bounded

What callers saw: nothing yet. A process at the address of another node that sends bytes without end was read until the call timed out, and all of them were kept: at the speed of a link, enough to end the process and the requests of its other callers.

Cause: http.ReadResponse has no bound of its own; that of http.Transport does not apply to the connections between nodes.

Evidence: TestHeadOfHandshakeIsBounded, a peer that sends 1 KB a millisecond.

Change: a handshake reads 4 KiB at most; messages have a bound already.

Measured: the test passes for all four kinds of heads, as do the others of messenger.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -15,6 +16,9 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
+// maxHandshakeBytes bounds the response to CONNECT.
+const maxHandshakeBytes = 4 << 10
+
 // Client makes calls to other nodes. Each connection carries one call at a time, so that a call without a response does
 // not block other calls. It is safe for concurrent use.
 type Client struct {
@@ -108,7 +112,8 @@
 	if _, err := conn.Write([]byte(request)); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHandshakeBytes}
+	reader := bufio.NewReader(limited)
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
 		return nil, err
@@ -117,6 +122,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, classifier.New(classifier.CodePeerInvalid, peer, "CONNECT was answered with %s", response.Status)
 	}
+	limited.N = math.MaxInt64
 	conn.setRemote(response.Header.Get(zoneHeader) != c.options.Zone)
 	return reader, conn.SetDeadline(time.Time{})
 }
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -79,6 +79,48 @@
 	})
 }
 
+// Guards against a head without end in the response to CONNECT, which was kept in memory until the call timed out.
+func TestHeadOfHandshakeIsBounded(t *testing.T) {
+	for name, answer := range map[string]struct{ start, repeated string }{
+		"no protocol":  {"", "\x00\xff not an answer "},
+		"status line":  {"HTTP/1.1 200 ", "OK"},
+		"header line":  {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"header lines": {"HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+	} {
+		bubbler.Test(t, func(t *testing.T) {
+			network := faker.NewNetwork()
+			listener := network.Listen("endless")
+			sent := 0
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				block := strings.Repeat(answer.repeated, 1000/len(answer.repeated))
+				_, err = io.WriteString(conn, answer.start)
+				for err == nil {
+					<-time.After(time.Millisecond)
+					_, err = io.WriteString(conn, block)
+					sent += len(block)
+				}
+			}()
+			client := NewClient(Options{Zone: "a", Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return network.Dial(ctx, "tcp", address)
+			}})
+			defer client.Close()
+			err := client.Call(t.Context(), "endless", "Echo.Say", &text{"x"}, &text{}, 1000)
+			<-ended
+			if err == nil || sent > 4*maxHandshakeBytes {
+				t.Errorf("%s: error %v after %d bytes", name, err, sent)
+			}
+			_ = listener.Close()
+		})
+	}
+}
+
 // Guards against a panic in a method that ends the process. With recovery turned off, the panic reaches the goroutine.
 func TestPanicPropagatesWithoutRecovery(t *testing.T) {
 	for _, propagate := range []bool{false, true} {
