Heads of responses to probes and of the platform are bounded to 64 KiB

What callers saw: nothing yet. A head without end in the response to a probe or of the platform was kept up to the 10 MiB of net/http, several times that with its garbage; a machine has 184 MB.

Cause: these transports left the bound to net/http. Those of requests and of health checks have 64 KiB.

Change: one bound, verifier.MaxHead, for all transports of the node.

Measured: the tests pass, as do those of prober, connector and forwarder, and TestHeadOfHealthIsBounded.

--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -43,6 +43,7 @@
 func NewClient(options Options) *Client {
 	transport := &http.Transport{
 		DialContext: options.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: (30 * timekeeper.Second).Duration(),
+		MaxResponseHeaderBytes: verifier.MaxHead,
 	}
 	return &Client{
 		baseURL:    strings.TrimRight(options.URL, "/"),
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/connector"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 func newClient(t *testing.T, handler http.Handler) *connector.Client {
@@ -146,6 +148,17 @@
 	}
 }
 
+// Guards against a head without end that is kept in memory.
+func TestHeadOfResponseIsBounded(t *testing.T) {
+	const limit = 100 * verifier.MaxHead
+	var sent atomic.Int64
+	_, err := newClient(t, faker.EndlessHead(limit, &sent)).Get(t.Context(), "head", "head")
+	expect(t, "endless head", classifier.CodeUnavailable, err)
+	if sent.Load() >= limit {
+		t.Errorf("%d bytes of a head were read", sent.Load())
+	}
+}
+
 // Guards against a node that exceeds its share of the platform's rate limit.
 func TestClientRateLimitRefusesExcess(t *testing.T) {
 	platform := faker.NewPlatform()
--- a/internal/faker/raw.go
+++ b/internal/faker/raw.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync/atomic"
 )
 
 // Raw returns a handler that responds with the bytes of a text and closes the connection. They need not be HTTP.
@@ -17,6 +19,25 @@
 	})
 }
 
+// EndlessHead returns a handler that sends a head without end until the connection closes, or until it has sent so many
+// bytes, and counts them.
+func EndlessHead(limit int64, sent *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		lines := strings.Repeat("X-More: x\r\n", 1000)
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for err == nil && sent.Load() < limit {
+			var n int
+			n, err = io.WriteString(conn, lines)
+			sent.Add(int64(n))
+		}
+	})
+}
+
 // MalformedHeads returns starts of heads, by their names, that a client must not take for the head of a response.
 func MalformedHeads() map[string]string {
 	return map[string]string{
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -13,6 +13,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/router"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 	"github.com/jasmineproxy/jasmineproxy/internal/tracker"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 // forwardPath is the path of requests from entry nodes on the peer address of a host node.
@@ -423,7 +424,7 @@
 		IdleConnTimeout:        (15 * timekeeper.Second).Duration(),
 		ReadBufferSize:         4 << 10,
 		WriteBufferSize:        4 << 10,
-		MaxResponseHeaderBytes: 64 << 10,
+		MaxResponseHeaderBytes: verifier.MaxHead,
 		ExpectContinueTimeout:  time.Second,
 	}
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -67,7 +67,9 @@
 		options.Dial = (&net.Dialer{}).DialContext
 	}
 	p := &Prober{options: options}
-	p.transport = &http.Transport{DialContext: p.dial, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}
+	p.transport = &http.Transport{
+		DialContext: p.dial, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: verifier.MaxHead,
+	}
 	p.client = &http.Client{
 		Transport: &verifier.Transport{Next: p.transport}, Timeout: options.Timeout.Duration(),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -12,6 +12,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/bubbler"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 // observe probes an upstream, calls change, probes again and returns the state that the prober reports then.
@@ -87,6 +88,18 @@
 	}
 }
 
+// Guards against a head without end that is kept in memory.
+func TestHeadOfProbeIsBounded(t *testing.T) {
+	const limit = 100 * verifier.MaxHead
+	var sent atomic.Int64
+	server := httptest.NewServer(faker.EndlessHead(limit, &sent))
+	alive := New(Options{URL: server.URL, Timeout: 10 * timekeeper.Second}).Check(t.Context())
+	server.Close()
+	if alive || sent.Load() >= limit {
+		t.Errorf("alive %v after %d bytes", alive, sent.Load())
+	}
+}
+
 // Guards against a slow health endpoint that is mistaken for a crash, and a Run that continues after its context ended.
 func TestSlowEndpoint(t *testing.T) {
 	bubbler.Test(t, func(t *testing.T) {
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -7,6 +7,9 @@
 	"strings"
 )
 
+// MaxHead bounds the head of a response, in bytes. That of net/http is 10 MiB.
+const MaxHead = 64 << 10
+
 // maxStatus is the highest valid status, see RFC 9110, 15.
 const maxStatus = 599
 
