A length that a response only states takes no link and refuses no requests

What callers saw: after one response of an upstream that states a very long body and breaks off, or goes on without end, requests of the same call at that node got 503 "long responses wait for the link of the server", and long responses waited until their deadline: for hours, with a stated length of 1 TiB.

Cause: the pacer reserved the time of the whole stated length on the link, and counted it as the usual length of the call. Found while looking for bytes without end that are kept in memory.

Evidence: TestFalseLengthOfResponse (GET, the response breaks off or is endless): the next request got 503 in both cases.

Change: a response reserves 1 MiB at most at once; the rest gets its time piece by piece. Only complete responses count for the usual length, and those to HEAD do not, as they have no body.

--- a/internal/forwarder/bulk.go
+++ b/internal/forwarder/bulk.go
@@ -62,9 +62,9 @@
 // Refused returns the number of requests that were refused because long responses waited for the link.
 func (p *BulkPacer) Refused() int64 { return p.refused.Load() }
 
-// observe records the length of a response; -1 for an unknown one.
-func (p *BulkPacer) observe(call string, length int64) {
-	if p == nil || length < 0 {
+// observe records the length of a complete response to a method; -1 for an unknown one.
+func (p *BulkPacer) observe(call, method string, length int64) {
+	if p == nil || method == http.MethodHead || length < 0 {
 		return
 	}
 	p.mutex.Lock()
@@ -115,12 +115,13 @@
 	end   float64 // time in ms at which the reserved part is sent
 }
 
-// reserve returns the turn of a response to a method after those before it. Its length is -1 if it is not known.
+// reserve returns the turn of a response to a method after those before it. Its length is -1 if it is not known. Bytes
+// after the first maxReadAhead get their time as they are sent: the upstream may state a length that it never sends.
 func (p *BulkPacer) reserve(clock timekeeper.Clock, method string, length int64) *bulkTurn {
 	if p == nil || method == http.MethodHead || length >= 0 && length < bulkBytes {
 		return nil
 	}
-	start, end := p.take(clock.Now(), max(length, bulkBytes))
+	start, end := p.take(clock.Now(), min(max(length, bulkBytes), maxReadAhead))
 	return &bulkTurn{pacer: p, clock: clock, next: start, end: end}
 }
 
--- a/internal/forwarder/bulk_test.go
+++ b/internal/forwarder/bulk_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,8 +26,8 @@
 		p := NewBulkPacer(10)
 		x := &hostAttempt{job: &job{Call: "photos", Target: 400}, deadline: clock.Now() + 5000}
 		other := &hostAttempt{job: &job{Call: "plates", Target: 400}, deadline: clock.Now() + 5000}
-		p.observe("photos", length)
-		p.observe("plates", 400)
+		p.observe("photos", http.MethodGet, length)
+		p.observe("plates", http.MethodGet, 400)
 		started := clock.Now()
 		send := func(length int64) {
 			turn := p.reserve(clock, http.MethodGet, length)
@@ -69,7 +70,7 @@
 func TestPromisedResponses(t *testing.T) {
 	p := NewBulkPacer(10)
 	x := &hostAttempt{job: &job{Call: "photos", Target: 400}, deadline: 5000}
-	p.observe("photos", 90_000)
+	p.observe("photos", http.MethodGet, 90_000)
 	var ends []func()
 	for range 10 {
 		if done, err := p.admit(0, x); err == nil {
@@ -131,13 +132,17 @@
 		if head := p.reserve(clock, http.MethodHead, 90_000); head != nil {
 			t.Error("the response to HEAD has a turn")
 		}
+		p.observe("photos", http.MethodHead, 1<<40)
+		if p.lengths["photos"] != 0 {
+			t.Errorf("after a response to HEAD, %v bytes are expected", p.lengths["photos"])
+		}
 	})
 }
 
 // Guards against a bound where the link is not known or wide.
 func TestWideLinks(t *testing.T) {
 	var unknown *BulkPacer
-	unknown.observe("photos", 1<<20)
+	unknown.observe("photos", http.MethodGet, 1<<20)
 	wide := NewBulkPacer(1000)
 	for _, p := range []*BulkPacer{unknown, wide, NewBulkPacer(0)} {
 		for now := range timekeeper.Millis(100) {
@@ -147,7 +152,7 @@
 				t.Fatal(err)
 			}
 			done()
-			p.observe("photos", 90_000)
+			p.observe("photos", http.MethodGet, 90_000)
 			manual := timekeeper.Manual(now)
 			turn := p.reserve(manual.Clock(), http.MethodGet, 90_000)
 			if _, err = turn.writer(t.Context(), io.Discard).Write(make([]byte, 90_000)); err != nil {
@@ -189,3 +194,34 @@
 		}
 	})
 }
+
+// Guards against a response that states a length which it does not have: the link counted as taken until all of it
+// could have been sent, and the call as one with responses of that length, so that its requests were refused.
+func TestFalseLengthOfResponse(t *testing.T) {
+	for name, repeated := range map[string]string{"breaks off": "", "endless": strings.Repeat("0123456789", 10_000)} {
+		upstream := faker.UpstreamOptions{Answer: func(w http.ResponseWriter, r *http.Request) {
+			if !r.URL.Query().Has("false") {
+				_, _ = w.Write(make([]byte, 90_000))
+				return
+			}
+			w.Header().Set("Content-Length", strconv.FormatInt(1<<40, 10))
+			_, err := w.Write(make([]byte, 100_000))
+			for err == nil && repeated != "" {
+				_, err = io.WriteString(w, repeated)
+			}
+			panic(http.ErrAbortHandler)
+		}}
+		adjust := func(o *Options) { o.Bulk = NewBulkPacer(1000) }
+		inBubble(t, adjust, plainLink, []faker.UpstreamOptions{upstream}, func(t *testing.T, m *mesh) {
+			for range 3 {
+				sendAborting(t, m, http.MethodGet, "/check?false")
+			}
+			<-time.After(2 * time.Second)
+			started := time.Now()
+			response := m.send(t.Context(), http.MethodGet, "/check", "")
+			if took := time.Since(started); response.Code != http.StatusOK || took > 100*time.Millisecond {
+				t.Errorf("%s: the next request got status %d after %v", name, response.Code, took)
+			}
+		})
+	}
+}
--- a/internal/forwarder/endless_test.go
+++ b/internal/forwarder/endless_test.go
@@ -88,7 +88,7 @@
 			}
 			inBubble(t, adjust, plainLink, oneUpstream, func(t *testing.T, m *mesh) {
 				started := time.Now()
-				outcome, aborted := sendAborting(t, m)
+				outcome, aborted := sendAborting(t, m, http.MethodPost, "/book")
 				if took := time.Since(started); took > timeout {
 					t.Errorf("%s, %s: ended after %v", name, speed, took)
 				}
@@ -111,8 +111,8 @@
 	}
 }
 
-// sendAborting sends a request that is not idempotent, and reports its outcome and whether its response was aborted.
-func sendAborting(t *testing.T, m *mesh) (outcome classifier.Outcome, aborted bool) {
+// sendAborting sends a request, and reports its outcome and whether its response was aborted.
+func sendAborting(t *testing.T, m *mesh, method, path string) (outcome classifier.Outcome, aborted bool) {
 	t.Helper()
 	recorder := &countingWriter{header: make(http.Header)}
 	defer func() {
@@ -123,7 +123,7 @@
 			outcome, aborted = classifier.Outcome(recorder.header.Get(HeaderOutcome)), true
 		}
 	}()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://wick.example/book", http.NoBody)
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://wick.example"+path, http.NoBody)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -283,17 +283,21 @@
 	if response.status < http.StatusInternalServerError {
 		serviceTime = h.serviceTimes.add(x.Call, h.Clock.Now()-started)
 	}
-	if response.stream == nil {
+	complete := response.stream == nil
+	if complete {
 		x.release() // the upstream has ended the run, whatever time its response takes from here
+		h.Bulk.observe(x.Call, x.Method, response.length)
 	}
 	h.logUpstreamFailure(x, response)
 	h.answered.Add(x.Fingerprint)
 	x.stream.endConnection(x.writer)
-	h.Bulk.observe(x.Call, response.length)
 	x.begun()
 	turn := h.Bulk.reserve(h.Clock, x.Method, response.length)
 	load := encodeLoad(h.Queue.Load(), serviceTime, h.failureRate.permille())
 	response.write(x.writer, turn.writer(ctx, x.writer), x.job, load)
+	if !complete {
+		h.Bulk.observe(x.Call, x.Method, response.length)
+	}
 	return StateDone, nil
 }
 
