A response of another version than HTTP/1 is no answer

What callers saw: an answer whose status line says HTTP/2.0 as one of HTTP/1.1.

Cause: net/http reads any version with two digits.

Evidence: TestMalformedAnswers, case "another version": 200 before, for one request and for two sent ahead. Found while checking what else of a status line passes.

Change: the check of responses includes the major version.

Measured: the test passes, as do TestVersions and those of forwarder.

--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -13,9 +13,12 @@
 // maxStatus is the highest valid status, see RFC 9110, 15.
 const maxStatus = 599
 
-// Check returns an error for a response that is not a final one or whose head is malformed. Where its body ends is not
-// known then.
+// Check returns an error for a response that is not of HTTP/1, is not a final one or has a malformed head. Where its
+// body ends is not known then.
 func Check(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("malformed response: version %.20q", response.Proto)
+	}
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return fmt.Errorf("malformed response: status %03d", response.StatusCode)
 	}
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -22,15 +22,30 @@
 			t.Errorf("%q: error %v", name, err)
 		}
 	}
-	if Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {"v"}}}) == nil {
+	if Check(&http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Header: http.Header{"": {"v"}}}) == nil {
 		t.Error("an empty name is accepted")
 	}
 }
 
+// Guards against a response of a protocol whose messages net/http reads as those of HTTP/1.1.
+func TestVersions(t *testing.T) {
+	for version, want := range map[string]bool{"0.9": false, "1.0": true, "1.1": true, "1.9": true, "2.0": false} {
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(
+			"HTTP/"+version+" 200 OK\r\nContent-Length: 0\r\n\r\n")), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if err = Check(response); (err == nil) != want {
+			t.Errorf("HTTP/%s: error %v", version, err)
+		}
+	}
+}
+
 // Guards against a status that no client may get.
 func TestStatuses(t *testing.T) {
 	for status := -1; status <= 1000; status++ {
-		if err := Check(&http.Response{StatusCode: status}); (err == nil) != (status >= 200 && status < 600) {
+		if err := Check(&http.Response{ProtoMajor: 1, StatusCode: status}); (err == nil) != (status >= 200 && status < 600) {
 			t.Errorf("status %d: error %v", status, err)
 		}
 	}
