An answer of HTTP/1.0 in chunks is not passed on with the sizes of its chunks

What callers saw: a success whose body has the sizes of the chunks in it, with a length that makes it look complete, or cut at the length that the upstream states beside the coding.

Cause: net/http ignores a Transfer-Encoding of HTTP/1.0, which has none, and deletes the header, so that a check of the response cannot find it. RFC 9112, 6.1, says that the framing of such a message is faulty.

Change: the connections to upstreams and host nodes, which count what is written, also scan the heads of responses for it.

--- a/internal/forwarder/dial.go
+++ b/internal/forwarder/dial.go
@@ -12,26 +12,34 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// countWrites returns a dial function whose connections count the bytes that are written to them.
-func countWrites(dial dialFunc) dialFunc {
+// observeConnections returns a dial function whose connections are observedConns.
+func observeConnections(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return &observedConn{Conn: conn}, nil
 	}
 }
 
-// countingConn counts the bytes that are written to a connection.
-type countingConn struct {
+// observedConn counts the bytes that are written to a connection, and scans the heads of the responses.
+type observedConn struct {
 	net.Conn
 	written atomic.Int64
+	scanner headScanner
 }
 
 // Write implements io.Writer.
-func (c *countingConn) Write(content []byte) (int, error) {
+func (c *observedConn) Write(content []byte) (int, error) {
 	n, err := c.Conn.Write(content)
 	c.written.Add(int64(n))
 	return n, err
 }
+
+// Read implements io.Reader.
+func (c *observedConn) Read(target []byte) (int, error) {
+	n, err := c.Conn.Read(target)
+	c.scanner.add(target[:n])
+	return n, err
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -415,7 +415,7 @@
 		dial = dialer.DialContext
 	}
 	return &http.Transport{
-		DialContext:         countWrites(dial),
+		DialContext:         observeConnections(dial),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 128,
 		MaxConnsPerHost:     connections,
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -28,20 +29,33 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			u.conn, u.first = info.Conn, !info.Reused
 			u.written = writtenTo(info.Conn)
+			if observed, ok := info.Conn.(*observedConn); ok {
+				observed.scanner.reset()
+			}
 		},
 		GotFirstResponseByte: func() { u.responded.Store(true) },
 	}), u
 }
 
-// writtenTo returns the number of bytes written to a connection of countWrites.
+// writtenTo returns the number of bytes written to an observedConn.
 func writtenTo(conn net.Conn) int64 {
-	counting, ok := conn.(*countingConn)
+	observed, ok := conn.(*observedConn)
 	if !ok {
 		return 0
 	}
-	return counting.written.Load()
+	return observed.written.Load()
 }
 
+// checkFraming returns an error for a response whose body net/http reads in another way than it was sent.
+func (u *usedConnection) checkFraming() error {
+	if observed, ok := u.conn.(*observedConn); ok && observed.scanner.foundCoding() {
+		return errOldCoding
+	}
+	return nil
+}
+
+var errOldCoding = errors.New("malformed response: HTTP/1.0 with a Transfer-Encoding")
+
 // abandon closes the connection, whose next response may still belong to this exchange.
 func (u *usedConnection) abandon() {
 	if u.conn != nil {
@@ -65,7 +79,7 @@
 		traced, used := traceConnection(ctx)
 		response, err := transport.RoundTrip(build(traced))
 		if err == nil {
-			if err = verifier.Check(response); err == nil {
+			if err = errors.Join(verifier.Check(response), used.checkFraming()); err == nil {
 				return response, used, nil
 			}
 			_ = response.Body.Close()
--- a/internal/forwarder/once_test.go
+++ b/internal/forwarder/once_test.go
@@ -337,8 +337,8 @@
 		dial := transport.DialContext
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
-			if counting, ok := conn.(*countingConn); ok {
-				counting.Conn = &closingConn{counting.Conn, &closed}
+			if observed, ok := conn.(*observedConn); ok {
+				observed.Conn = &closingConn{observed.Conn, &closed}
 			}
 			return conn, err
 		}
