A head of very many headers does not fill the memory of a node

What callers saw: nothing yet. Answers with 10,000 headers of different names, in a head of less than 64 KiB, and with a body without end: a node beside an upstream that sends them to 100 clients at once had 255 MB on a machine of 100 MB, and an ordinary request was not served. On the platform the process would have been ended, with the requests of all its clients.

Cause: the bound on heads counts their bytes. A header of five bytes takes many times that in the maps of net/http, at the host node and at the entry node, for as long as the response lasts.

Evidence: TestEndlessAnswers of platform/crowd, case "many headers", 239 and 255 MB before (clients that do not read, and that do); TestMalformedAnswers, case "many headers", 200 before.

Change: the scanner of heads counts lines; more than 256 before the body, interim responses included, are an error, after which the connection is read no further. An entry node allows 16 more, as a host node adds headers of its own.

Measured: both tests pass, with 54 MB at most; TestFramingOfAnswers has an answer with 250 headers, which passes. Tests of forwarder pass with the race detector.

--- a/internal/forwarder/dial.go
+++ b/internal/forwarder/dial.go
@@ -12,14 +12,15 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// observeConnections returns a dial function whose connections are observedConns.
-func observeConnections(dial dialFunc) dialFunc {
+// observeConnections returns a dial function whose connections are observedConns. The heads of a response may have a
+// number of lines.
+func observeConnections(dial dialFunc, headLines int) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &observedConn{Conn: conn}, nil
+		return &observedConn{Conn: conn, scanner: headScanner{maxLines: headLines}}, nil
 	}
 }
 
@@ -37,8 +38,11 @@
 	return n, err
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It reads no more of a malformed head.
 func (c *observedConn) Read(target []byte) (int, error) {
+	if err := c.scanner.check(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(target)
 	c.scanner.add(target[:n])
 	return n, err
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -43,7 +43,8 @@
 		options.MaxBody = defaultMaxBody
 	}
 	e := &Entry{
-		Options: options, transport: newTransport(options.Dial, 0), attempts: newAttemptCount(options.MaxAttempts),
+		Options: options, transport: newTransport(options.Dial, 0, maxHeadLines+hostHeadLines),
+		attempts: newAttemptCount(options.MaxAttempts),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.watcher, e.stopWatcher = newWatcher(ctx, e), cancel
@@ -410,12 +411,12 @@
 }
 
 // newTransport returns a transport for requests whose body is set by setBody or setNoContent.
-func newTransport(dial dialFunc, connections int) *http.Transport {
+func newTransport(dial dialFunc, connections, headLines int) *http.Transport {
 	if dial == nil {
 		dial = dialer.DialContext
 	}
 	return &http.Transport{
-		DialContext:         observeConnections(dial),
+		DialContext:         observeConnections(dial, headLines),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 128,
 		MaxConnsPerHost:     connections,
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,16 +46,14 @@
 	return observed.written.Load()
 }
 
-// checkFraming returns an error for a response whose body net/http reads in another way than it was sent.
-func (u *usedConnection) checkFraming() error {
-	if observed, ok := u.conn.(*observedConn); ok && observed.scanner.foundCoding() {
-		return errOldCoding
+// checkHead returns an error if the head of the response is malformed as sent, whatever net/http made of it.
+func (u *usedConnection) checkHead() error {
+	if observed, ok := u.conn.(*observedConn); ok {
+		return observed.scanner.check()
 	}
 	return nil
 }
 
-var errOldCoding = errors.New("malformed response: HTTP/1.0 with a Transfer-Encoding")
-
 // abandon closes the connection, whose next response may still belong to this exchange.
 func (u *usedConnection) abandon() {
 	if u.conn != nil {
@@ -79,7 +77,7 @@
 		traced, used := traceConnection(ctx)
 		response, err := transport.RoundTrip(build(traced))
 		if err == nil {
-			if err = errors.Join(verifier.Check(response), used.checkFraming()); err == nil {
+			if err = errors.Join(verifier.Check(response), used.checkHead()); err == nil {
 				return response, used, nil
 			}
 			_ = response.Body.Close()
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -36,7 +36,7 @@
 		options.MaxBody = defaultMaxBody
 	}
 	h := &Host{
-		Options: options, transport: newTransport(options.Dial, options.Connections), attempts: newAttempts(),
+		Options: options, transport: newTransport(options.Dial, options.Connections, maxHeadLines), attempts: newAttempts(),
 	}
 	h.upstreamTransport = h.transport
 	if options.WrapTransport != nil {
