--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -154,7 +154,7 @@
 	var sent atomic.Int64
 	_, err := newClient(t, faker.EndlessHead(limit, &sent)).Get(t.Context(), "head", "head")
 	expect(t, "endless head", classifier.CodeUnavailable, err)
-	if sent.Load() >= limit {
+	if sent.Load() == 0 || sent.Load() >= limit {
 		t.Errorf("%d bytes of a head were read", sent.Load())
 	}
 }
--- a/internal/forwarder/bulk.go
+++ b/internal/forwarder/bulk.go
@@ -26,7 +26,8 @@
 	bulkWeight = 0.1
 	// backlogDivisor divides the target of a call into the longest time that a long response may have to wait for others.
 	backlogDivisor = 2
-	// maxReadAhead is the length of the longest response that is read whole before its turn on the link, in bytes.
+	// maxReadAhead is the length of the longest response that is read whole before its turn on the link, and the most that
+	// one reserves of the link at once, in bytes.
 	maxReadAhead = 1 << 20
 )
 
--- a/internal/forwarder/dial.go
+++ b/internal/forwarder/dial.go
@@ -12,15 +12,15 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// observeConnections returns a dial function whose connections are observedConns. The heads of a response may have a
-// number of lines.
-func observeConnections(dial dialFunc, headLines int) dialFunc {
+// observeConnections returns a dial function whose connections are observedConns. maxHeadLines bounds the lines before
+// the body of a response.
+func observeConnections(dial dialFunc, maxHeadLines int) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &observedConn{Conn: conn, scanner: headScanner{maxLines: headLines}}, nil
+		return &observedConn{Conn: conn, scanner: headScanner{maxLines: maxHeadLines}}, nil
 	}
 }
 
@@ -38,7 +38,7 @@
 	return n, err
 }
 
-// Read implements io.Reader. It reads no more of a malformed head.
+// Read implements io.Reader. It fails once a head is malformed, so that the transport reads no more of it.
 func (c *observedConn) Read(target []byte) (int, error) {
 	if err := c.scanner.check(); err != nil {
 		return 0, err
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -43,7 +43,7 @@
 		options.MaxBody = defaultMaxBody
 	}
 	e := &Entry{
-		Options: options, transport: newTransport(options.Dial, 0, maxHeadLines+hostHeadLines),
+		Options: options, transport: newTransport(options.Dial, 0, hostHeadLines),
 		attempts: newAttemptCount(options.MaxAttempts),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -410,13 +410,14 @@
 	writeFailure(w, failure, e.Clock.Now())
 }
 
-// newTransport returns a transport for requests whose body is set by setBody or setNoContent.
-func newTransport(dial dialFunc, connections, headLines int) *http.Transport {
+// newTransport returns a transport for requests whose body is set by setBody or setNoContent. maxHeadLines bounds the
+// lines before the body of a response.
+func newTransport(dial dialFunc, connections, maxHeadLines int) *http.Transport {
 	if dial == nil {
 		dial = dialer.DialContext
 	}
 	return &http.Transport{
-		DialContext:         observeConnections(dial, headLines),
+		DialContext:         observeConnections(dial, maxHeadLines),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 128,
 		MaxConnsPerHost:     connections,
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -46,8 +45,11 @@
 	return observed.written.Load()
 }
 
-// checkHead returns an error if the head of the response is malformed as sent, whatever net/http made of it.
-func (u *usedConnection) checkHead() error {
+// checkResponse returns an error for a malformed response.
+func (u *usedConnection) checkResponse(response *http.Response) error {
+	if err := verifier.Check(response); err != nil {
+		return err
+	}
 	if observed, ok := u.conn.(*observedConn); ok {
 		return observed.scanner.check()
 	}
@@ -77,7 +79,7 @@
 		traced, used := traceConnection(ctx)
 		response, err := transport.RoundTrip(build(traced))
 		if err == nil {
-			if err = errors.Join(verifier.Check(response), used.checkHead()); err == nil {
+			if err = used.checkResponse(response); err == nil {
 				return response, used, nil
 			}
 			_ = response.Body.Close()
--- a/internal/forwarder/headscanner.go
+++ b/internal/forwarder/headscanner.go
@@ -10,30 +10,31 @@
 const (
 	// scannedBytes is the length of the start of a line that a headScanner reads.
 	scannedBytes = 18 // of "transfer-encoding:"
-	// maxHeadLines bounds the lines before the body of an upstream's response. A header takes several times its length in
-	// memory.
-	maxHeadLines = 256
-	// hostHeadLines are the lines that a host node may add to them.
-	hostHeadLines = 16
+	// upstreamHeadLines bounds the lines before the body of an upstream's response: in memory, a short header takes many
+	// times its length.
+	upstreamHeadLines = 256
+	// hostHeadLines bounds those of a host node's response, which has headers of its own besides.
+	hostHeadLines = upstreamHeadLines + 16
 )
 
 var (
-	errOldCoding = errors.New("malformed response: HTTP/1.0 with a Transfer-Encoding")
-	errManyLines = errors.New("malformed response: too many headers")
+	errCoding       = errors.New("malformed response: HTTP/1.0 with a Transfer-Encoding")
+	errTooManyLines = errors.New("malformed response: too many lines before the body")
 )
 
-// headScanner checks the heads of a response for what net/http accepts and does not show: a Transfer-Encoding of
-// HTTP/1.0, which net/http deletes to pass the sizes of the chunks on as a part of the body, and any number of headers.
+// headScanner reads the heads of a response on its connection, the interim ones included. It finds a Transfer-Encoding
+// in HTTP/1.0, which net/http ignores and deletes, so that the sizes of the chunks end up in the body. It also bounds
+// the number of lines, which net/http does not.
 type headScanner struct {
 	mutex    sync.Mutex
 	line     []byte // start of the current line
-	started  bool   // the line is not the first one of a head
-	interim  bool   // another head follows this one
-	old      bool   // the head is one of HTTP/1.0
-	ended    bool   // the last head has ended
-	lines    int    // of all heads
+	inFields bool   // the status line of the current head has been read
+	interim  bool   // the current head is that of an interim response
+	http10   bool   // the current head is of HTTP/1.0
+	ended    bool   // the final head has ended; the body follows
+	lines    int    // lines of all heads so far
 	maxLines int
-	failure  error
+	failure  error // of the response
 }
 
 // reset prepares the scanner for the next response.
@@ -41,7 +42,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.line = s.line[:0]
-	s.started, s.interim, s.old, s.ended = false, false, false, false
+	s.inFields, s.interim, s.http10, s.ended = false, false, false, false
 	s.lines, s.failure = 0, nil
 }
 
@@ -59,21 +60,22 @@
 	}
 }
 
+// endLine takes the line that has just ended.
 func (s *headScanner) endLine() {
 	line := strings.TrimSuffix(string(s.line), "\r")
 	s.line = s.line[:0]
 	s.lines++
 	switch {
 	case s.lines > s.maxLines:
-		s.failure = errManyLines
-	case !s.started:
+		s.failure = errTooManyLines
+	case !s.inFields:
 		version, status, _ := strings.Cut(line, " ")
-		s.started, s.old = true, version == "HTTP/1.0"
+		s.inFields, s.http10 = true, version == "HTTP/1.0"
 		s.interim = strings.HasPrefix(strings.TrimLeft(status, " "), "1")
 	case line == "":
-		s.started, s.ended = false, !s.interim
-	case s.old && strings.EqualFold(line, "transfer-encoding:"):
-		s.failure = errOldCoding
+		s.inFields, s.ended = false, !s.interim
+	case s.http10 && strings.EqualFold(line, "transfer-encoding:"):
+		s.failure = errCoding
 	}
 }
 
--- a/internal/forwarder/host.go
+++ b/internal/forwarder/host.go
@@ -36,7 +36,8 @@
 		options.MaxBody = defaultMaxBody
 	}
 	h := &Host{
-		Options: options, transport: newTransport(options.Dial, options.Connections, maxHeadLines), attempts: newAttempts(),
+		Options: options, transport: newTransport(options.Dial, options.Connections, upstreamHeadLines),
+		attempts: newAttempts(),
 	}
 	h.upstreamTransport = h.transport
 	if options.WrapTransport != nil {
@@ -295,7 +296,7 @@
 	turn := h.Bulk.reserve(h.Clock, x.Method, response.length)
 	load := encodeLoad(h.Queue.Load(), serviceTime, h.failureRate.permille())
 	response.write(x.writer, turn.writer(ctx, x.writer), x.job, load)
-	if !complete {
+	if !complete { // it is now: write panics otherwise
 		h.Bulk.observe(x.Call, x.Method, response.length)
 	}
 	return StateDone, nil
--- a/internal/forwarder/once_test.go
+++ b/internal/forwarder/once_test.go
@@ -395,7 +395,7 @@
 				}
 			}()
 			return &heldConn{Conn: host, release: release}, nil
-		}, 0, maxHeadLines)
+		}, 0, upstreamHeadLines)
 		defer transport.CloseIdleConnections()
 		send := func(next http.RoundTripper) (*usedConnection, error) {
 			response, used, err := roundTrip(t.Context(), next, true, func(ctx context.Context) *http.Request {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// brokenConnectionError marks a failure whose connection to the upstream broke during a run.
+// brokenConnectionError marks a failure during a run whose connection to the upstream broke, or was closed for a
+// response that is malformed or belongs to another request. The upstream may have crashed.
 type brokenConnectionError struct {
 	cause error
 }
--- a/internal/forwarder/upstream.go
+++ b/internal/forwarder/upstream.go
@@ -153,7 +153,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "no answer from the upstream by the deadline")
 	}
-	failure := classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "the connection to the upstream broke: %v", err)
+	failure := classifier.Unknown(classifier.CodeOutcomeUnknown, j.Call, "no valid response from the upstream: %v", err)
 	failure.Cause = &brokenConnectionError{err}
 	return failure
 }
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -16,7 +16,7 @@
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
 )
 
-// maxHandshakeBytes bounds the response to CONNECT.
+// maxHandshakeBytes bounds the head of the response to CONNECT, which http.ReadResponse does not.
 const maxHandshakeBytes = 4 << 10
 
 // Client makes calls to other nodes. Each connection carries one call at a time, so that a call without a response does
@@ -122,7 +122,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, classifier.New(classifier.CodePeerInvalid, peer, "CONNECT was answered with %s", response.Status)
 	}
-	limited.N = math.MaxInt64
+	limited.N = math.MaxInt64 // messages have a bound of their own
 	conn.setRemote(response.Header.Get(zoneHeader) != c.options.Zone)
 	return reader, conn.SetDeadline(time.Time{})
 }
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -113,7 +113,7 @@
 			defer client.Close()
 			err := client.Call(t.Context(), "endless", "Echo.Say", &text{"x"}, &text{}, 1000)
 			<-ended
-			if err == nil || sent > 4*maxHandshakeBytes {
+			if err == nil || sent == 0 || sent > 4*maxHandshakeBytes {
 				t.Errorf("%s: error %v after %d bytes", name, err, sent)
 			}
 			_ = listener.Close()
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -95,7 +95,7 @@
 	server := httptest.NewServer(faker.EndlessHead(limit, &sent))
 	alive := New(Options{URL: server.URL, Timeout: 10 * timekeeper.Second}).Check(t.Context())
 	server.Close()
-	if alive || sent.Load() >= limit {
+	if alive || sent.Load() == 0 || sent.Load() >= limit {
 		t.Errorf("alive %v after %d bytes", alive, sent.Load())
 	}
 }
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -10,11 +10,11 @@
 // MaxHead bounds the head of a response, in bytes. That of net/http is 10 MiB.
 const MaxHead = 64 << 10
 
-// maxStatus is the highest valid status, see RFC 9110, 15.
+// maxStatus is the highest status that RFC 9110, 15, calls valid.
 const maxStatus = 599
 
-// Check returns an error for a response that is not of HTTP/1, is not a final one or has a malformed head. Where its
-// body ends is not known then.
+// Check returns an error for a response of another version than HTTP/1, with a status out of 200 to 599, or with a
+// malformed name of a header. After such a name it is not known where the body ends.
 func Check(response *http.Response) error {
 	if response.ProtoMajor != 1 {
 		return fmt.Errorf("malformed response: version %.20q", response.Proto)
