--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -75,7 +75,7 @@
 func (r *Registrar) Heartbeat(b Heartbeat) error {
 	now := r.options.Clock.Now()
 	if err := r.check(&b, now); err != nil {
-		r.options.Logger.Info("heartbeat rejected", zap.String("instance", b.ID), zap.Error(err))
+		r.LogRejected(b.ID, err)
 		return err
 	}
 	r.mutex.Lock()
@@ -115,6 +115,11 @@
 	return nil
 }
 
+// LogRejected logs a heartbeat or a deregistration that is not from the upstream beside this node, or is malformed.
+func (r *Registrar) LogRejected(id string, err error) {
+	r.options.Logger.Info("message rejected", zap.String("instance", id), zap.Error(err))
+}
+
 // check fails for a heartbeat of another sender.
 func (r *Registrar) check(b *Heartbeat, now timekeeper.Millis) error {
 	switch {
@@ -190,7 +195,7 @@
 // message of another process is ignored.
 func (r *Registrar) Deregister(d Deregistration) error {
 	if err := checkIncarnation(d.Incarnation, r.options.Clock.Now()); err != nil {
-		r.options.Logger.Info("deregistration rejected", zap.String("instance", d.ID), zap.Error(err))
+		r.LogRejected(d.ID, err)
 		return err
 	}
 	r.mutex.Lock()
