A reset during a write to the platform or a command confirms nothing

Change: connector, platform and commander use verifier.Dial. The commands get a transport of their own in place of http.DefaultTransport, with a bound on heads like the others. Not changed: probes and health checks, which have no body, so that their write has ended before an answer can begin.

The stand-in CutServer now gives its clients a small send buffer, or 1 MiB could be written at once.

--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -33,6 +35,8 @@
 	// maxReplyBytes bounds the body of a response. A view of 3,500 accounts with 10 calls each takes about 10 MB.
 	maxReplyBytes = 64 << 20
 	maxTokenBytes = 512
+	// dialTimeout bounds the wait for a connection to a node.
+	dialTimeout = 30 * time.Second
 )
 
 // clientFlags appends the flags shared by all commands that send requests to a node. No flag holds the token itself,
@@ -93,8 +97,15 @@
 }
 
 // httpClient sends each request once; a redirection is an error.
-var httpClient = &http.Client{
-	Transport: &verifier.Transport{Next: http.DefaultTransport}, CheckRedirect: connector.RefuseRedirects,
+var httpClient = newHTTPClient((&net.Dialer{Timeout: dialTimeout}).DialContext)
+
+// newHTTPClient returns a client whose connections are opened by dial.
+func newHTTPClient(dial verifier.DialFunc) *http.Client {
+	transport := &http.Transport{
+		Proxy: http.ProxyFromEnvironment, DialContext: verifier.Dial(dial), TLSHandshakeTimeout: dialTimeout,
+		MaxResponseHeaderBytes: verifier.MaxHead,
+	}
+	return &http.Client{Transport: &verifier.Transport{Next: transport}, CheckRedirect: connector.RefuseRedirects}
 }
 
 // call sends a request and decodes the response into target, unless target is nil. It returns an
--- a/internal/commander/client_test.go
+++ b/internal/commander/client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/administrator"
 	"github.com/jasmineproxy/jasmineproxy/internal/auditor"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/comparer"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
@@ -196,6 +197,24 @@
 	}
 }
 
+// Guards against a cut response that is taken for the confirmation of a node, which resets the connection while the
+// request is still being written.
+func TestResetDuringRequestIsNoConfirmation(t *testing.T) {
+	server, err := faker.NewCutServer("HTTP/1.1 200 OK\r\n\r\n{}", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	before := httpClient
+	httpClient = newHTTPClient(server.Dial)
+	defer func() { httpClient = before }()
+	c := &client{base: "http://" + server.Address(), timeout: 10 * timekeeper.Second}
+	err = c.call(t.Context(), http.MethodPost, "/", make([]byte, 1<<20), nil)
+	if classifier.CodeOf(err) != classifier.CodePeerClosed {
+		t.Errorf("error %v", err)
+	}
+}
+
 // Guards against terminal injection: an unauthenticated request puts control characters into the audit trail, which
 // the audit command prints.
 func TestOutputHasNoControlCharacters(t *testing.T) {
--- a/internal/connector/client.go
+++ b/internal/connector/client.go
@@ -42,7 +42,8 @@
 // NewClient returns a client of the object API.
 func NewClient(options Options) *Client {
 	transport := &http.Transport{
-		DialContext: options.Dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: (30 * timekeeper.Second).Duration(),
+		DialContext: verifier.Dial(options.Dial), MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:        (30 * timekeeper.Second).Duration(),
 		MaxResponseHeaderBytes: verifier.MaxHead,
 	}
 	return &Client{
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// Guards against a write that a cut response confirms: the platform resets the connection while the value is still
+// being written, and the write takes the error that the read of the response should see.
+func TestResetDuringWriteConfirmsNothing(t *testing.T) {
+	server, err := faker.NewCutServer("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\n{", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := connector.NewClient(connector.Options{
+		URL: "http://" + server.Address(), Rate: 10, Burst: 10, Timeout: 10 * timekeeper.Second, Dial: server.Dial,
+	})
+	_, err = client.Put(t.Context(), connector.Object{
+		Kind: "head", Name: "head", Value: make([]byte, connector.MaxValueBytes),
+	})
+	expect(t, "reset during a write", classifier.CodeUnavailable, err)
+}
+
 // Guards against a head without end that is kept in memory.
 func TestHeadOfResponseIsBounded(t *testing.T) {
 	const limit = 100 * verifier.MaxHead
--- a/internal/faker/cut.go
+++ b/internal/faker/cut.go
@@ -9,6 +9,9 @@
 	"sync"
 )
 
+// sendBuffer is the size of the send buffer of a client's connection, in bytes.
+const sendBuffer = 16 << 10
+
 // CutServer answers each request, on a connection of its own, before it has read the body, and then resets the
 // connection, which it may close for sending before.
 type CutServer struct {
@@ -18,7 +21,7 @@
 	dialed     chan *cutConn
 }
 
-// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial.
+// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial, and send bodies of 512 KiB or more.
 func NewCutServer(answer string, closeFirst bool) (*CutServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,6 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBuffer) // or a body of less than about 1 MiB would be written at once
+	}
 	c := &cutConn{
 		Conn: conn, unread: len(s.answer), read: make(chan struct{}), failed: make(chan struct{}),
 		ended: make(chan struct{}),
