--- a/internal/faker/cut.go
+++ b/internal/faker/cut.go
@@ -21,7 +21,7 @@
 	dialed     chan *cutConn
 }
 
-// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial, and send bodies of 512 KiB or more.
+// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial, and send bodies of 1 MiB or more.
 func NewCutServer(answer string, closeFirst bool) (*CutServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(sendBuffer) // or a body of less than about 1 MiB would be written at once
+		_ = tcp.SetWriteBuffer(sendBuffer) // a large buffer would take a whole body at once
 	}
 	c := &cutConn{
 		Conn: conn, unread: len(s.answer), read: make(chan struct{}), failed: make(chan struct{}),
