A successor does not take failures of the past for the usual share

Cause: the first report of a member brings its tallies since its process started, and the judge took them all at full weight, as if they had run in this round. A trace of such a takeover: the old version had 246 of 505 runs of a call failed, in a crash and failures long over. Tallies also go on over orders, so that the past can be months long.

Change: the first report of a member is where its counts begin, for all versions. Reports of a restarted process count whole, as before.

Measured: TestSuccessorAfterFaults failed in 30 of 30 cases before ("completed") and passes in all now, as do the other tests of the package, three times.

--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -279,8 +279,9 @@
 	return m.recent[name] >= soleShare*sum
 }
 
-// record stores the report of a member, if there is one, and passes what its tallies grew by to add. It returns the
-// last report before, nil if there is none of the same process, and the number of rounds since then.
+// record stores the report of a member, if there is one, and passes what its tallies grew by to add. The tallies of its
+// first report may be older than the roll-out or stem from faults that are over: they are where the counts begin. It
+// returns the last report before, nil if there is none of the same process, and the number of rounds since then.
 func (m *Machine) record(
 	name string, report Report, ok bool, add func(call string, t *Tally),
 ) (last *Report, rounds int) {
@@ -301,6 +302,9 @@
 		last = &before
 	}
 	for call, tally := range report.Calls {
+		if !host.known {
+			break
+		}
 		var earlier Tally
 		if last != nil {
 			earlier = last.Calls[call]
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against a successor that completes a bad version because it takes failures of the other one from before, in
+// faults that are over, for its usual share of failures.
+func TestSuccessorAfterFaults(t *testing.T) {
+	for rounds := 5; rounds < 20; rounds++ { // the first node stays in the trial
+		for _, size := range []int{2, 20} {
+			f := newFleet(size, size, float64(10*size))
+			end := f.clock.Clock().Now() + timekeeper.Millis(rounds)*roundInterval
+			f.bad = func(u *upstream, now timekeeper.Millis) float64 {
+				if u.member.Version == "v2" || now < end {
+					return 0.5
+				}
+				return 0.003
+			}
+			first := NewMachine(f.clock.Clock().Now(), exposureShare, 0)
+			for range rounds {
+				f.round(first, true)
+				f.step()
+			}
+			for range 5 { // nobody conducts it
+				f.step()
+			}
+			f.run(NewMachine(f.clock.Clock().Now()-f.order.Period, exposureShare, 7), f.order.Period)
+			if f.order.Current().Phase != PhaseRolledBack || f.exposed > exposureLimit(f.total) {
+				t.Errorf("%d upstreams, end after %d rounds: %q, %d of %d requests", size, rounds, f.order.Current().Phase,
+					f.exposed, f.total)
+			}
+		}
+	}
+}
+
 // Guards against a node that conducts a roll-out, is frozen during the switch and completes it when it wakes, although
 // the other version serves again.
 func TestFrozenDuringSwitch(t *testing.T) {
