Requests of a replaced upstream do not count as those of the new version

What callers would see: an upstream is replaced by one of another version beside a running node, and the service is ordered to that version. It gets hardly any request in its trial and then has to serve all of them, good or bad.

Cause: the gate of a host node counted requests from the start of its process, whatever version its upstream had. The conductor adds up these counts as the requests of the new version, which are bounded. Runs in flight that broke off with the old upstream were tallied as failures of the new version.

Change: the counts of a gate begin when it sees another version; runs that began before are left out. The conductor compares reports of the same version only. The test fleet shows its gates their versions a minute before the order.

--- a/internal/rollouter/fleet_test.go
+++ b/internal/rollouter/fleet_test.go
@@ -40,7 +40,6 @@
 		order: Order{Name: "orders", Service: "orders", Target: "v2", Period: 16 * timekeeper.Second},
 		bad:   func(*upstream, timekeeper.Millis) float64 { return 0.003 },
 	}
-	f.clock.Advance(timekeeper.Minute)
 	for i := range old + added {
 		version := "v1"
 		if i >= old {
@@ -48,6 +47,7 @@
 		}
 		f.add(fmt.Sprintf("node-%02d", i), version)
 	}
+	f.clock.Advance(timekeeper.Minute)
 	return f
 }
 
@@ -58,7 +58,7 @@
 	u.gate = NewGate(GateOptions{
 		Service: "orders", Incarnation: 1, Clock: f.clock.Clock(), Logger: zap.NewNop(), OnChange: func() {},
 		Upstream: func() Upstream {
-			return Upstream{Version: version, Healthy: true, Working: len(u.running)}
+			return Upstream{Version: u.member.Version, Healthy: true, Working: len(u.running)}
 		},
 		Alone: func(version string) bool {
 			for _, other := range f.hosts {
@@ -71,6 +71,7 @@
 	})
 	f.hosts = append(f.hosts, u)
 	f.setOrder()
+	u.gate.Apply(&Grant{}) // of no service: the gate learns of the version
 	return u
 }
 
--- a/internal/rollouter/gate.go
+++ b/internal/rollouter/gate.go
@@ -41,7 +41,8 @@
 	until   timekeeper.Millis // end of the grant
 	stopped string            // version that was stopped
 	runs    uint64
-	version string // of the upstream that the tallies are about
+	version string            // of the upstream that the counts are about
+	since   timekeeper.Millis // when version was first seen; earlier runs were those of another one
 	calls   map[string]Tally
 }
 
@@ -128,22 +129,30 @@
 			g.grant.Runs--
 		}
 	}
+	g.countFor(upstream.Version)
 	g.runs++
 	return true
 }
 
+// countFor drops the counts of an upstream of another version that was beside the node before. While no upstream is
+// known, they are kept.
+func (g *Gate) countFor(version string) {
+	if version == "" || version == g.version {
+		return
+	}
+	g.version, g.since, g.runs = version, g.options.Clock.Now(), 0
+	clear(g.calls)
+}
+
 // Record tallies the end of a run that Begin admitted.
 func (g *Gate) Record(call string, failed bool, duration timekeeper.Millis) {
 	upstream := g.options.Upstream()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.order == nil || g.options.Clock.Now()-duration < upstream.WarmAt {
+	g.countFor(upstream.Version)
+	if g.order == nil || g.options.Clock.Now()-duration < max(upstream.WarmAt, g.since) {
 		return
 	}
-	if upstream.Version != g.version {
-		g.version = upstream.Version
-		clear(g.calls)
-	}
 	tally, known := g.calls[call]
 	if !known && len(g.calls) >= maxCalls {
 		return
@@ -166,6 +175,7 @@
 		}
 	}
 	after := g.admission(upstream.Version)
+	g.countFor(upstream.Version)
 	report := Report{
 		Format: Format, Incarnation: g.options.Incarnation, Version: upstream.Version, Healthy: upstream.Healthy,
 		Stopped: g.stopped != "" && g.stopped == upstream.Version, Yields: !after.Open, Working: upstream.Working,
--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -281,7 +281,8 @@
 
 // record stores the report of a member, if there is one, and passes what its tallies grew by to add. The tallies of its
 // first report may be older than the roll-out or stem from faults that are over: they are where the counts begin. It
-// returns the last report before, nil if there is none of the same process, and the number of rounds since then.
+// returns the last report before, nil if there is none of the same process and version, and the number of rounds since
+// then.
 func (m *Machine) record(
 	name string, report Report, ok bool, add func(call string, t *Tally),
 ) (last *Report, rounds int) {
@@ -297,8 +298,7 @@
 		}
 		return nil, 0
 	}
-	if host.known && host.last.Incarnation == report.Incarnation {
-		before := host.last
+	if before := host.last; host.known && before.Incarnation == report.Incarnation && before.Version == report.Version {
 		last = &before
 	}
 	for call, tally := range report.Calls {
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -116,6 +116,59 @@
 	}
 }
 
+// Guards against a version that gets hardly any request before it is to serve all of them, because those that ran on
+// upstreams of another version beside the same nodes count as its own.
+func TestReplacedBesideRunningNodes(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		f := newFleet(4, 0, 100)
+		f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
+			if bad && u.member.Version == "v2" {
+				return 0.5
+			}
+			return 0.003
+		}
+		for range 500 {
+			f.step()
+		}
+		for _, u := range f.hosts[:2] {
+			u.member.Version, u.running = "v2", nil
+		}
+		f.total, f.exposed = 0, 0
+		m := NewMachine(f.clock.Clock().Now(), exposureShare, 0)
+		for f.order.Running() && !f.order.Current().Switching && f.total < 5000 {
+			f.round(m, false)
+			f.step()
+		}
+		if state := f.order.Current(); bad && state.Phase != PhaseRolledBack || !bad && m.tallied < enoughRuns {
+			t.Errorf("bad %v: %+v after %d of %d requests", bad, state, f.exposed, f.total)
+		}
+		if f.exposed > exposureLimit(f.total) {
+			t.Errorf("bad %v: %d of %d requests ran on it during the trial", bad, f.exposed, f.total)
+		}
+	}
+}
+
+// Guards against a new version that is blamed for runs of the one before it that broke off when their upstream was
+// replaced.
+func TestRunsOfReplacedUpstream(t *testing.T) {
+	f := newFleet(1, 0, 10)
+	u := f.hosts[0]
+	for range 20 {
+		u.gate.Begin()
+	}
+	f.clock.Advance(100)
+	u.member.Version = "v2"
+	for range 20 {
+		u.gate.Record("call", true, 100)
+	}
+	f.clock.Advance(100)
+	u.gate.Record("call", false, 50)
+	report := u.gate.Apply(&Grant{Format: Format, Service: "orders", Target: "v2", Kind: KindTrial, Duration: trialTime})
+	if got := report.Calls["call"]; report.Runs != 0 || got.Failed != 0 || got.runs() != 1 {
+		t.Errorf("version v2 started %d runs and has the tally %+v", report.Runs, got)
+	}
+}
+
 // Guards against a node that conducts a roll-out, is frozen during the switch and completes it when it wakes, although
 // the other version serves again.
 func TestFrozenDuringSwitch(t *testing.T) {
