--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -301,16 +301,15 @@
 	if before := host.last; host.known && before.Incarnation == report.Incarnation && before.Version == report.Version {
 		last = &before
 	}
-	for call, tally := range report.Calls {
-		if !host.known {
-			break
+	if host.known {
+		for call, tally := range report.Calls {
+			var earlier Tally
+			if last != nil {
+				earlier = last.Calls[call]
+			}
+			difference := tally.since(&earlier)
+			add(call, &difference)
 		}
-		var earlier Tally
-		if last != nil {
-			earlier = last.Calls[call]
-		}
-		difference := tally.since(&earlier)
-		add(call, &difference)
 	}
 	rounds = host.rounds
 	*host = hostRecord{last: report, known: true}
