--- a/internal/commander/client_test.go
+++ b/internal/commander/client_test.go
@@ -200,7 +200,7 @@
 // Guards against a cut response that is taken for the confirmation of a node, which resets the connection while the
 // request is still being written.
 func TestResetDuringRequestIsNoConfirmation(t *testing.T) {
-	server, err := faker.NewCutServer("HTTP/1.1 200 OK\r\n\r\n{}", false)
+	server, err := faker.NewCutServer(faker.CutOptions{Answer: "HTTP/1.1 200 OK\r\n\r\n{}"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -149,20 +149,27 @@
 }
 
 // Guards against a write that a cut response confirms: the platform resets the connection while the value is still
-// being written, and the write takes the error that the read of the response should see.
+// being written, and the write takes the error that the read of the response should see. It is the first write on the
+// connection, or the second.
 func TestResetDuringWriteConfirmsNothing(t *testing.T) {
-	server, err := faker.NewCutServer("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\n{", false)
-	if err != nil {
-		t.Fatal(err)
+	const head = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n"
+	object := connector.Object{Kind: "head", Name: "head", Value: make([]byte, connector.MaxValueBytes)}
+	for _, first := range []string{"", head + "Content-Length: 0\r\n\r\n"} {
+		server, err := faker.NewCutServer(faker.CutOptions{First: first, Answer: head + "\r\n{"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := connector.NewClient(connector.Options{
+			URL: "http://" + server.Address(), Rate: 10, Burst: 10, Timeout: 10 * timekeeper.Second, Dial: server.Dial,
+		})
+		if first != "" {
+			_, err = client.Put(t.Context(), object)
+			expect(t, "first write", classifier.CodeOK, err)
+		}
+		_, err = client.Put(t.Context(), object)
+		expect(t, "reset during a write", classifier.CodeUnavailable, err)
+		server.Close()
 	}
-	defer server.Close()
-	client := connector.NewClient(connector.Options{
-		URL: "http://" + server.Address(), Rate: 10, Burst: 10, Timeout: 10 * timekeeper.Second, Dial: server.Dial,
-	})
-	_, err = client.Put(t.Context(), connector.Object{
-		Kind: "head", Name: "head", Value: make([]byte, connector.MaxValueBytes),
-	})
-	expect(t, "reset during a write", classifier.CodeUnavailable, err)
 }
 
 // Guards against a head without end that is kept in memory.
--- a/internal/faker/cut.go
+++ b/internal/faker/cut.go
@@ -12,22 +12,29 @@
 // sendBuffer is the size of the send buffer of a client's connection, in bytes.
 const sendBuffer = 16 << 10
 
-// CutServer answers each request, on a connection of its own, before it has read the body, and then resets the
-// connection, which it may close for sending before.
+// CutServer answers the last request of each connection before it has read the body, and then resets the connection.
 type CutServer struct {
-	listener   net.Listener
-	answer     string
-	closeFirst bool
-	dialed     chan *cutConn
+	listener net.Listener
+	options  CutOptions
+	dialed   chan *cutConn
 }
 
-// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial, and send bodies of 1 MiB or more.
-func NewCutServer(answer string, closeFirst bool) (*CutServer, error) {
+// CutOptions configures a CutServer.
+type CutOptions struct {
+	// First is the answer to a first request of each connection, which is read whole; "" for connections with one request.
+	First      string
+	Answer     string // to the last request
+	CloseFirst bool   // the connection is closed for sending before it is reset
+}
+
+// NewCutServer starts a server on a TCP port of its own. Its clients must use Dial, and send bodies of 1 MiB or more in
+// the last request of a connection.
+func NewCutServer(options CutOptions) (*CutServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &CutServer{listener: listener, answer: answer, closeFirst: closeFirst, dialed: make(chan *cutConn, 1)}
+	s := &CutServer{listener: listener, options: options, dialed: make(chan *cutConn, 1)}
 	go s.serve()
 	return s, nil
 }
@@ -49,8 +56,8 @@
 		_ = tcp.SetWriteBuffer(sendBuffer) // a large buffer would take a whole body at once
 	}
 	c := &cutConn{
-		Conn: conn, unread: len(s.answer), read: make(chan struct{}), failed: make(chan struct{}),
-		ended: make(chan struct{}),
+		Conn: conn, unread: len(s.options.First) + len(s.options.Answer),
+		read: make(chan struct{}), failed: make(chan struct{}), ended: make(chan struct{}),
 	}
 	s.dialed <- c
 	return c, nil
@@ -63,14 +70,21 @@
 			return
 		}
 		client := <-s.dialed
-		_, _ = http.ReadRequest(bufio.NewReader(conn))
-		_, _ = io.WriteString(conn, s.answer)
+		reader := bufio.NewReader(conn)
+		if s.options.First != "" {
+			if request, err := http.ReadRequest(reader); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, s.options.First)
+			}
+		}
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, s.options.Answer)
 		select {
 		case <-client.read:
 		case <-client.ended:
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			if s.closeFirst {
+			if s.options.CloseFirst {
 				_ = tcp.CloseWrite()
 			}
 			_ = tcp.SetLinger(0)
