A malformed response to CONNECT opens no connection between nodes

Cause: http.ReadResponse accepts such heads, and messenger checked the status only. It reads this response itself, without the transport that the other readers share.

Change: the handshake calls verifier.Check, as they do.

Evidence: TestMalformedHandshake failed before with replies behind "a blank in a name", "a blank after a name" and "another version"; status 000, status 600 and a control byte were refused. It passes now, twice with the race detector.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/timekeeper"
+	"github.com/jasmineproxy/jasmineproxy/internal/verifier"
 )
 
 // maxHandshakeBytes bounds the head of the response to CONNECT, which http.ReadResponse does not.
@@ -119,6 +120,9 @@
 		return nil, err
 	}
 	_ = response.Body.Close()
+	if err = verifier.Check(response); err != nil {
+		return nil, classifier.Wrap(classifier.CodePeerInvalid, peer, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, classifier.New(classifier.CodePeerInvalid, peer, "CONNECT was answered with %s", response.Status)
 	}
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -14,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/jasmineproxy/jasmineproxy/internal/bubbler"
 	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
@@ -79,6 +81,52 @@
 	})
 }
 
+// headConn replaces the status line of the first response that is read from a connection.
+type headConn struct {
+	net.Conn
+	head string // unread part of what replaces the status line
+	read bool   // the status line
+}
+
+// Read implements io.Reader.
+func (c *headConn) Read(target []byte) (int, error) {
+	for next := [1]byte{}; !c.read; c.read = next[0] == '\n' {
+		if _, err := c.Conn.Read(next[:]); err != nil {
+			return 0, err
+		}
+	}
+	if c.head == "" {
+		return c.Conn.Read(target)
+	}
+	n := copy(target, c.head)
+	c.head = c.head[n:]
+	return n, nil
+}
+
+// Guards against a malformed response to CONNECT that is taken for the consent of a node.
+func TestMalformedHandshake(t *testing.T) {
+	heads := faker.MalformedHeads()
+	heads["another version"] = "HTTP/2.0 200 OK\r\n"
+	replies := make(map[string]string)
+	for name, head := range heads {
+		bubbler.Test(t, func(t *testing.T) {
+			_, _, network := startServer(t, "a")
+			client := NewClient(Options{Zone: "a", Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := network.dial(ctx, address)
+				return &headConn{Conn: conn, head: head}, err
+			}})
+			defer client.Close()
+			var reply text
+			if err := client.Call(t.Context(), "peer", "Echo.Say", &text{"x"}, &reply, 1000); err == nil {
+				replies[name] = reply.Text
+			}
+		})
+	}
+	if diff := cmp.Diff(map[string]string{}, replies); diff != "" {
+		t.Errorf("replies behind a malformed response (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a head without end in the response to CONNECT, which was kept in memory until the call timed out.
 func TestHeadOfHandshakeIsBounded(t *testing.T) {
 	for name, answer := range map[string]struct{ start, repeated string }{
