Uploads in chunks of HTTP/1.0 are refused

What callers saw: a client that sent an upload in chunks with HTTP/1.0 got a part of a long answer as the whole one when the server reset its connection. The server had got the request without its body.

Cause: net/http takes a request of HTTP/1.0 in chunks for one without a body. The node answered while the upload was still being written, and reset the connection when the answer broke off; the write of the upload took the error, and the read found the end of an answer without a length. Ruled out: other uploads, which the node reads whole before an answer begins (TestAnswerWithoutLengthIsReset with HTTP/1.0 passes on the code before).

Change: the check for a length beside chunks also refuses HTTP/1.0 with a Transfer-Encoding, and HTTP/1.0 sent ahead on a kept connection, whose head is not known. What follows the 400 is read for a moment, so that a reset does not overtake it.

TestKeptConnectionOfHTTP10 shows that kept connections are still served.

--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// discardRest reads for a moment what follows a refused request whose end is not known, and closes the connection.
+func discardRest(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
+	conn, _, err := control.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(discardTime.Duration()))
+	chunk := chunks.get()
+	defer chunks.put(chunk)
+	_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{conn}, chunk[:])
+}
+
 // reserveResponse reserves memory for the part of a response that is read before it is delivered, and returns the
 // length of that part. A length of -1 is unknown.
 func reserveResponse(memory *budgeter.Budget, b *buffer, length int64) int64 {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -66,6 +66,13 @@
 		}
 	}
 	if failure := e.checkFraming(w, r); failure != nil {
+		e.rejectBeforeAttempt(w, r, nil, failure)
+		if !r.ProtoAtLeast(1, 1) { // net/http takes its chunks for no part of the request
+			discardRest(w)
+		}
+		return
+	}
+	if failure := checkDecidingHeaders(r); failure != nil {
 		e.rejectBeforeAttempt(w, r, nil, failure)
 		return
 	}
@@ -107,17 +114,21 @@
 // decidingHeaders are those of a caller that change how its request is handled.
 var decidingHeaders = [...]string{headerID, headerDeadline, headerInternal, headerDepth, headerRetry, headerKey}
 
-// checkFraming refuses a request whose end, or whose handling, can be read in two ways.
+// checkFraming refuses a request whose end can be read in two ways. It announces the end of the connection, also
+// if that is not known.
 func (e *Entry) checkFraming(w http.ResponseWriter, r *http.Request) *classifier.Error {
-	if e.BothLengths != nil {
-		both, known := e.BothLengths(r)
-		if both || !known {
-			announceClose(w)
-		}
-		if both {
-			return classifier.Refuse(classifier.CodeBadRequest, headerContentLength, "the request has a length and chunks")
-		}
+	if e.CheckFraming == nil {
+		return nil
+	}
+	refusal, known := e.CheckFraming(r)
+	if refusal != nil || !known {
+		announceClose(w)
 	}
+	return refusal
+}
+
+// checkDecidingHeaders refuses a request whose handling can be read in two ways.
+func checkDecidingHeaders(r *http.Request) *classifier.Error {
 	for _, name := range decidingHeaders {
 		if len(r.Header[name]) > 1 {
 			return classifier.Refuse(classifier.CodeBadRequest, name, "the request has the header more than once")
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/jasmineproxy/jasmineproxy/internal/admitter"
 	"github.com/jasmineproxy/jasmineproxy/internal/budgeter"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/deduplicator"
 	"github.com/jasmineproxy/jasmineproxy/internal/hedger"
@@ -125,9 +126,8 @@
 	KeysFresh func() bool
 	// Allotments bounds the requests of client accounts over all nodes; nil for no bound.
 	Allotments Allotments
-	// BothLengths reports whether a request states a length and comes in chunks, if that is known; nil for never. Its end
-	// can be read in two ways.
-	BothLengths func(r *http.Request) (both, known bool)
+	// CheckFraming refuses a request whose end can be read in two ways, if that is known; nil for no check.
+	CheckFraming func(r *http.Request) (refusal *classifier.Error, known bool)
 	// OpaqueIDs accepts ids of any form from callers that never send the same id twice. The mesh then keeps no records
 	// of ids.
 	OpaqueIDs bool
--- a/internal/runner/framing.go
+++ b/internal/runner/framing.go
@@ -6,12 +6,14 @@
 	"strings"
 
 	"github.com/jasmineproxy/jasmineproxy/internal/acceptor"
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/pipeliner"
 )
 
 // net/http takes a request with a length and chunks by its chunks, hides the length and keeps the connection, so that
-// bytes after the body run as a request of their own. RFC 9112, 6.1, asks a server to reject such a request, or to
-// close the connection after it.
+// bytes after the body run as a request of their own. It takes a request of HTTP/1.0 in chunks for one without a body.
+// RFC 9112, 6.1, asks a server to reject a request of the first kind, or to close the connection after it, and to treat
+// the framing of the second kind as faulty.
 
 const (
 	// maxAhead bounds the requests of one connection that run before the response to the one before them. Further ones
@@ -35,29 +37,48 @@
 	p.Attach(s.http)
 }
 
-// statesLength reports whether the head of a request states a length. It is unknown if net/http had read the head
-// before the response to the request before it.
-func statesLength(recorded []byte, r *http.Request) (states, known bool) {
+// headOf returns the head of a request. It is unknown if net/http had read it before the response to the request before
+// it.
+func headOf(r *http.Request) (head []byte, known bool) {
+	conn := pipeliner.ConnOf(r)
+	if conn == nil {
+		return nil, false
+	}
+	recorded := conn.Head()
 	end := pipeliner.EndOfHead(recorded)
 	if end < 0 || !bytes.HasPrefix(recorded, []byte(r.Method+" "+r.RequestURI+" ")) {
-		return false, false
+		return nil, false
 	}
-	for line := range bytes.Lines(recorded[:end]) {
-		if name, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(name), "Content-Length") {
-			return true, true
+	return recorded[:end], true
+}
+
+// states reports whether a head has a header of a name.
+func states(head []byte, name string) bool {
+	for line := range bytes.Lines(head) {
+		if found, _, ok := bytes.Cut(line, []byte(":")); ok && strings.EqualFold(string(found), name) {
+			return true
 		}
 	}
-	return false, true
+	return false
 }
 
-// bothLengths implements forwarder.Options.BothLengths.
-func bothLengths(r *http.Request) (both, known bool) {
-	if len(r.TransferEncoding) == 0 {
-		return false, true
+// checkFraming implements forwarder.Options.CheckFraming.
+func checkFraming(r *http.Request) (refusal *classifier.Error, known bool) {
+	const length, coding = "Content-Length", "Transfer-Encoding"
+	chunked, http10 := len(r.TransferEncoding) > 0, !r.ProtoAtLeast(1, 1)
+	if !chunked && !http10 {
+		return nil, true
 	}
-	conn := pipeliner.ConnOf(r)
-	if conn == nil {
-		return false, false
+	head, known := headOf(r)
+	switch {
+	case !known && http10:
+		return classifier.Refuse(classifier.CodeBadRequest, coding, "a request of HTTP/1.0 was sent ahead"), true
+	case !known:
+		return nil, false
+	case http10 && states(head, coding):
+		return classifier.Refuse(classifier.CodeBadRequest, coding, "HTTP/1.0 has no transfer codings"), true
+	case chunked && states(head, length):
+		return classifier.Refuse(classifier.CodeBadRequest, length, "the request has a length and chunks"), true
 	}
-	return statesLength(conn.Head(), r)
+	return nil, true
 }
--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -167,7 +167,7 @@
 		Caller: n.client, Retrier: retrier.New(retrier.Options{
 			Clock: n.dependencies.Clock, Ratio: n.settings.Hosted.Retries * retryShare,
 		}), MaxBody: n.settings.Body,
-		BothLengths: bothLengths, Memory: newBudget(&n.settings, n.dependencies.Clock, n.meter, n.logger),
+		CheckFraming: checkFraming, Memory: newBudget(&n.settings, n.dependencies.Clock, n.meter, n.logger),
 		MaxAttempts: n.maxFiles() * attemptFilesPercent / 100 / filesOfAttempt,
 		OpaqueIDs:   true, Isolator: n.isolator, Queue: n.queue, Prober: n.registrar,
 		Bulk: n.bulk, Hedger: n.hedger, KeysFresh: n.keysFresh,
--- a/internal/runner/node.go
+++ b/internal/runner/node.go
@@ -197,7 +197,7 @@
 		}),
 		Caller: n.client, Retrier: retrier.New(retrier.Options{Clock: n.dependencies.Clock}), NewID: n.deduplicator.NewID,
 		HomeZone: homeZoneOf(placement), Internal: n.settings.Internal, MaxBody: n.settings.Body,
-		BothLengths: bothLengths, Memory: newBudget(&n.settings, n.dependencies.Clock, n.meter, n.logger),
+		CheckFraming: checkFraming, Memory: newBudget(&n.settings, n.dependencies.Clock, n.meter, n.logger),
 		Coordinator: n.deduplicator, Isolator: n.isolator,
 		Queue: n.queue, Prober: n.prober, Observer: n.observer, Instance: n.observer.instance,
 		Upstream: n.settings.Upstream.Address,
