Tests: malformed second answers on a kept connection, and reads of the platform

The tests of malformed responses left out reads of the platform and the second answer on a kept connection. Both clients of the platform are now checked with get, list, watch, put and delete, and they, probes and commands with a malformed answer behind a good one. No product code changes: the code handles all of them.

--- a/internal/commander/client_test.go
+++ b/internal/commander/client_test.go
@@ -194,6 +194,15 @@
 			t.Errorf("%s: exit code is %d: %s%s", name, code, s.output.String(), s.errors.String())
 		}
 		server.Close()
+		const rest = "Content-Length: 2\r\n\r\n{}"
+		server = httptest.NewServer(faker.Second("HTTP/1.1 200 OK\r\n"+rest, head+rest))
+		c := &client{base: server.URL, timeout: 10 * timekeeper.Second}
+		for i, want := range []classifier.Code{classifier.CodeOK, classifier.CodePeerClosed} {
+			if err := c.call(t.Context(), http.MethodPost, "/", nil, nil); classifier.CodeOf(err) != want {
+				t.Errorf("%s: error of answer %d: %v", name, i+1, err)
+			}
+		}
+		server.Close()
 	}
 }
 
--- a/internal/connector/client_test.go
+++ b/internal/connector/client_test.go
@@ -138,13 +138,42 @@
 	}
 }
 
-// Guards against a malformed response that confirms a write.
+// Guards against a malformed response that confirms a write or is read, also as the second one on a connection.
 func TestClientRejectsMalformedResponses(t *testing.T) {
+	const rest = "ETag: \"7\"\r\nContent-Length: 0\r\n\r\n"
 	for name, head := range faker.MalformedHeads() {
-		client := newClient(t, faker.Raw(head+"ETag: \"7\"\r\nContent-Length: 0\r\n\r\n"))
-		expect(t, name+", delete", classifier.CodeUnavailable, client.Delete(t.Context(), "head", "head", 7))
-		_, err := client.Put(t.Context(), connector.Object{Kind: "head", Name: "head", Value: []byte("x")})
-		expect(t, name+", put", classifier.CodeUnavailable, err)
+		client := newClient(t, faker.Raw(head+rest))
+		for method, call := range clientCalls(client) {
+			expect(t, name+", "+method, classifier.CodeUnavailable, call(t.Context()))
+		}
+		for method := range clientCalls(client) {
+			kept := newClient(t, faker.Second("HTTP/1.1 200 OK\r\n"+rest, head+rest))
+			expect(t, "first answer", classifier.CodeOK, kept.Delete(t.Context(), "head", "head", 7))
+			expect(t, name+", second answer, "+method, classifier.CodeUnavailable, clientCalls(kept)[method](t.Context()))
+		}
+	}
+}
+
+// clientCalls returns the calls of a client by their names.
+func clientCalls(client *connector.Client) map[string]func(ctx context.Context) error {
+	return map[string]func(ctx context.Context) error{
+		"get": func(ctx context.Context) error {
+			_, err := client.Get(ctx, "head", "head")
+			return err
+		},
+		"list": func(ctx context.Context) error {
+			_, err := client.List(ctx, "head")
+			return err
+		},
+		"watch": func(ctx context.Context) error {
+			_, err := client.Watch(ctx, "head", 7, 0)
+			return err
+		},
+		"put": func(ctx context.Context) error {
+			_, err := client.Put(ctx, connector.Object{Kind: "head", Name: "head", Value: []byte("x")})
+			return err
+		},
+		"delete": func(ctx context.Context) error { return client.Delete(ctx, "head", "head", 7) },
 	}
 }
 
--- a/internal/faker/raw.go
+++ b/internal/faker/raw.go
@@ -19,6 +19,24 @@
 	})
 }
 
+// Second returns a handler that responds to the first two requests of a connection with the bytes of a text each, and
+// then closes the connection.
+func Second(first, second string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, first)
+		if next, err := http.ReadRequest(buffered.Reader); err == nil {
+			_, _ = io.Copy(io.Discard, next.Body)
+			_, _ = io.WriteString(conn, second)
+		}
+	})
+}
+
 // EndlessHead returns a handler that sends a head without end until the connection closes, or until it has sent so many
 // bytes, and counts them.
 func EndlessHead(limit int64, sent *atomic.Int64) http.Handler {
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -85,6 +85,13 @@
 			t.Errorf("%s: the upstream is alive", name)
 		}
 		server.Close()
+		const rest = "Content-Length: 0\r\n\r\n"
+		server = httptest.NewServer(faker.Second("HTTP/1.1 200 OK\r\n"+rest, head+rest))
+		p = New(Options{URL: server.URL})
+		if first, second := p.Check(t.Context()), p.Check(t.Context()); !first || second {
+			t.Errorf("%s, second answer: the upstream is alive: %v, then %v", name, first, second)
+		}
+		server.Close()
 	}
 }
 
