--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -36,7 +36,10 @@
 				version      int
 				chunks, kept bool
 			}{{1, false, false}, {1, false, true}, {1, true, true}, {0, false, false}} {
-				c := resetCase{length, false, caller.version, upstream, caller.chunks, caller.kept, "not whole"}
+				c := resetCase{
+					length: length, caller: caller.version, upstream: upstream, chunks: caller.chunks, kept: caller.kept,
+					want: "not whole",
+				}
 				all = append(all, c)
 				c.closeFirst, c.want = true, "whole"
 				all = append(all, c)
