--- a/internal/faker/raw.go
+++ b/internal/faker/raw.go
@@ -1,6 +1,7 @@
 package faker
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -37,6 +38,16 @@
 	})
 }
 
+// Upload returns the last part of the text of a request: a header line that states the length of the body or that it is
+// chunked, the empty line, and a body of a size.
+func Upload(size int, chunked bool) string {
+	body := strings.Repeat("y", size)
+	if chunked {
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body)
+	}
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body)
+}
+
 // EndlessHead returns a handler that sends a head without end until the connection closes, or until it has sent so many
 // bytes, and counts them.
 func EndlessHead(limit int64, sent *atomic.Int64) http.Handler {
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -135,15 +135,11 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	chunk := chunks.get()
-	defer chunks.put(chunk)
-	_ = withReadDeadline(w, discardTime, func() error {
-		_, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{r.Body}, chunk[:])
-		return err
-	})
+	_ = withReadDeadline(w, discardTime, func() error { return discard(r.Body) })
 }
 
-// discardRest reads for a moment what follows a refused request whose end is not known, and closes the connection.
+// discardRest is discardBody for a refused request whose end net/http does not know: it reads what comes on the
+// connection for a moment, and closes it.
 func discardRest(w http.ResponseWriter) {
 	control := http.NewResponseController(w)
 	if control.Flush() != nil {
@@ -159,9 +155,15 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(discardTime.Duration()))
+	_ = discard(conn)
+}
+
+// discard reads a source to its end, through a pooled buffer.
+func discard(source io.Reader) error {
 	chunk := chunks.get()
 	defer chunks.put(chunk)
-	_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{conn}, chunk[:])
+	_, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{source}, chunk[:])
+	return err
 }
 
 // reserveResponse reserves memory for the part of a response that is read before it is delivered, and returns the
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -67,7 +67,7 @@
 	}
 	if failure := e.checkFraming(w, r); failure != nil {
 		e.rejectBeforeAttempt(w, r, nil, failure)
-		if !r.ProtoAtLeast(1, 1) { // net/http takes its chunks for no part of the request
+		if !r.ProtoAtLeast(1, 1) { // net/http reads no chunks of HTTP/1.0
 			discardRest(w)
 		}
 		return
--- a/internal/forwarder/reset_test.go
+++ b/internal/forwarder/reset_test.go
@@ -108,11 +108,8 @@
 
 // upload sends a request with a body of a size, and reads the response.
 func upload(conn net.Conn, reader *bufio.Reader, c *resetCase, size int) (status int, content string, err error) {
-	framing, body := fmt.Sprintf("Content-Length: %d\r\n\r\n", size), strings.Repeat("y", size)
-	if c.chunks {
-		framing, body = "Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", size, body)
-	}
-	_, err = fmt.Fprintf(conn, "POST /unsafe/1 HTTP/1.%d\r\nHost: wick.example\r\n%s%s", c.caller, framing, body)
+	_, err = fmt.Fprintf(conn, "POST /unsafe/1 HTTP/1.%d\r\nHost: wick.example\r\n%s", c.caller,
+		faker.Upload(size, c.chunks))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/messenger/client_test.go
+++ b/internal/messenger/client_test.go
@@ -85,7 +85,7 @@
 type headConn struct {
 	net.Conn
 	head string // unread part of what replaces the status line
-	read bool   // the status line
+	read bool   // the status line has been read
 }
 
 // Read implements io.Reader.
@@ -107,6 +107,7 @@
 func TestMalformedHandshake(t *testing.T) {
 	heads := faker.MalformedHeads()
 	heads["another version"] = "HTTP/2.0 200 OK\r\n"
+	heads["well-formed"] = "HTTP/1.1 200 OK\r\n"
 	replies := make(map[string]string)
 	for name, head := range heads {
 		bubbler.Test(t, func(t *testing.T) {
@@ -122,8 +123,8 @@
 			}
 		})
 	}
-	if diff := cmp.Diff(map[string]string{}, replies); diff != "" {
-		t.Errorf("replies behind a malformed response (-want +got):\n%s", diff)
+	if diff := cmp.Diff(map[string]string{"well-formed": "x"}, replies); diff != "" {
+		t.Errorf("the calls with a reply differ (-want +got):\n%s", diff)
 	}
 }
 
--- a/internal/runner/framing.go
+++ b/internal/runner/framing.go
@@ -71,8 +71,9 @@
 	}
 	head, known := headOf(r)
 	switch {
-	case !known && http10:
-		return classifier.Refuse(classifier.CodeBadRequest, coding, "a request of HTTP/1.0 was sent ahead"), true
+	case !known && http10 && r.Method != http.MethodGet && r.Method != http.MethodHead:
+		return classifier.Refuse(classifier.CodeBadRequest, coding,
+			"HTTP/1.0 has no transfer codings, and a request sent ahead may have one"), true
 	case !known:
 		return nil, false
 	case http10 && states(head, coding):
