Stop a bad version at its upstreams before the verdict is written

Cause: the status was written in the round of the verdict. With a final status a roll-out has no conductor, so that no round with stop grants followed, and no upstream knew of the verdict when the status was lost.

The machine now returns the final status only after a round of stop grants. The conductor runs that round at once, so that the verdict takes no longer. A successor learns of the verdict with the first report. The log line of a stage states how many runs were judged.

TestRestoredAfterVerdict failed before (28 requests after the verdict) and passes now (0); the golden files of rollouter are unchanged.

--- a/internal/rollouter/conductor.go
+++ b/internal/rollouter/conductor.go
@@ -140,12 +140,24 @@
 	return nil
 }
 
-// conduct runs one round of a roll-out if this node is responsible for it.
+// conduct runs one round of a roll-out if this node is responsible for it, and another one at once if the version is
+// found bad in it.
 func (c *Conductor) conduct(ctx context.Context, order *Order) {
 	machine := c.machine(order)
 	if machine == nil {
 		return
 	}
+	status, after := c.round(ctx, order, machine)
+	if after == stageStop && status == nil {
+		status, _ = c.round(ctx, order, machine)
+	}
+	if status != nil && ctx.Err() == nil {
+		c.write(ctx, order, status)
+	}
+}
+
+// round runs one round of a roll-out. It returns the status to write, or nil, and the stage after the round.
+func (c *Conductor) round(ctx context.Context, order *Order, machine *Machine) (*Status, stage) {
 	members := c.options.Directory.Service(order.Service)
 	c.mutex.Lock()
 	sendings := machine.Plan(order, members)
@@ -160,12 +172,10 @@
 	if before != after {
 		c.options.Logger.Info("roll-out moves on", zap.String("service", order.Service),
 			zap.String("version", order.Target), zap.Stringer("stage", after), zap.Stringer("stage_before", before),
-			zap.Int("exposed", progress.Exposed), zap.Int("served", progress.Served), zap.Float64("score", progress.Score),
-			zap.String("reason", progress.Reason))
-	}
-	if status != nil && ctx.Err() == nil {
-		c.write(ctx, order, status)
+			zap.Int("exposed", progress.Exposed), zap.Int("served", progress.Served), zap.Int("judged", progress.Judged),
+			zap.Float64("score", progress.Score), zap.String("reason", progress.Reason))
 	}
+	return status, after
 }
 
 // machine returns the machine of an order if this node is responsible for it, else nil.
--- a/internal/rollouter/fleet_test.go
+++ b/internal/rollouter/fleet_test.go
@@ -132,20 +132,13 @@
 	}
 }
 
-// round runs one round of a machine, whose node writes a status at once unless lose is set.
+// round runs one round of a machine, whose node writes a status at once unless lose is set. Like a Conductor, it runs
+// another round if the version is found bad.
 func (f *fleet) round(m *Machine, lose bool) {
-	reports := make(map[string]Report)
-	order := f.order
-	members := f.members()
-	sendings := m.Plan(&order, members)
-	for _, sending := range sendings {
-		for _, u := range f.hosts {
-			if u.member.Name == sending.Member.Name && !u.cut {
-				reports[u.member.Name] = u.gate.Apply(&sending.Grant)
-			}
-		}
+	status := f.exchange(m)
+	if status == nil && m.stage == stageStop {
+		status = f.exchange(m)
 	}
-	status := m.Evaluate(f.clock.Clock().Now(), &order, members, reports)
 	if status == nil || lose {
 		return
 	}
@@ -161,6 +154,21 @@
 	f.setOrder()
 }
 
+// exchange sends the grants of a round and returns the status that the reports lead to.
+func (f *fleet) exchange(m *Machine) *Status {
+	reports := make(map[string]Report)
+	order := f.order
+	members := f.members()
+	for _, sending := range m.Plan(&order, members) {
+		for _, u := range f.hosts {
+			if u.member.Name == sending.Member.Name && !u.cut {
+				reports[u.member.Name] = u.gate.Apply(&sending.Grant)
+			}
+		}
+	}
+	return m.Evaluate(f.clock.Clock().Now(), &order, members, reports)
+}
+
 // step lets the time of a round pass.
 func (f *fleet) step() {
 	f.serve()
--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -79,6 +79,7 @@
 	planned  map[string]Kind    // kinds of the grants of this round, by member
 	tried    map[string]int     // last round of the trial of each member
 	held     bool               // the grants of this round hold the other versions beyond the write of the status
+	halted   bool               // the grants of this round stop the version
 	recent   map[string]float64 // recent runs of each member of the new version
 	alone    int                // rounds in a row in which no other version was known
 	takeover int                // of the switch: 0 until the new version serves, 1 while the others end their requests
@@ -111,7 +112,7 @@
 func (m *Machine) Plan(order *Order, members []tracker.Member) []Sending {
 	m.round++
 	m.planned = make(map[string]Kind)
-	m.held = m.stage == stageFinal
+	m.held, m.halted = m.stage == stageFinal, m.stage == stageStop
 	candidates, others := m.split(order, members)
 	switch m.stage {
 	case stageStop:
@@ -406,6 +407,8 @@
 		next.Started = m.started
 	}
 	switch {
+	case m.stage == stageStop && !m.halted:
+		return nil // upstreams learn of it first: the platform may be restored to a state without the verdict
 	case m.stage == stageStop:
 		next.Phase = PhaseRolledBack
 	case m.stage == stageFinal && m.held && m.idle(others, reports):
@@ -435,6 +438,7 @@
 	Started timekeeper.Millis `json:"started"`
 	Exposed int               `json:"exposed"`
 	Served  int               `json:"served"`
+	Judged  int               `json:"judged"` // runs of the version that the score is about
 	Score   float64           `json:"score"`
 	Reason  string            `json:"reason,omitempty"`
 }
@@ -447,7 +451,7 @@
 	}
 	return Progress{
 		Service: order.Service, Target: order.Target, Stage: m.stage.String(), Started: m.started,
-		Exposed: int(m.exposed), Served: int(m.served), Score: math.Round(score*10) / 10, Reason: reason,
+		Exposed: int(m.exposed), Served: int(m.served), Judged: int(m.tallied), Score: math.Round(score*10) / 10, Reason: reason,
 	}
 }
 
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// Guards against a bad version that gets requests again after the verdict, as the platform was restored to a state before
+// it and the upstreams had not learned of it.
+func TestRestoredAfterVerdict(t *testing.T) {
+	f := newFleet(10, 10, 100)
+	f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
+		return map[string]float64{"v1": 0.003, "v2": 0.5}[u.member.Version]
+	}
+	f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 0), f.order.Period)
+	before := f.exposed
+	f.order.Status = Status{Phase: PhaseRunning, Target: "v2"}
+	f.setOrder()
+	f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 7), f.order.Period)
+	if f.order.Current().Phase != PhaseRolledBack || f.exposed > before {
+		t.Errorf("%q, %d requests after the verdict; written %v", f.order.Current().Phase, f.exposed-before, f.written)
+	}
+}
+
 // Guards against a new version that is blamed for runs of the one before it that broke off when their upstream was
 // replaced.
 func TestRunsOfReplacedUpstream(t *testing.T) {
