Judge a version by the median upstream of the other versions

Cause: the judge tolerates twice the share of failures of the other versions, counted over all their runs. Of two upstreams, one that fails all requests (fail runs, reset app, lose answers) makes it 0.5, the most that is tolerated; a run that succeeds then weighs 3.6 times as much as one that fails.

The share is now that of the median upstream with ten runs, the better of two, for failures and for slow runs.

TestFaultyUpstreamOfOtherVersion failed before (the bad version completed with two upstreams).

--- a/internal/rollouter/judge.go
+++ b/internal/rollouter/judge.go
@@ -1,6 +1,9 @@
 package rollouter
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // The judge compares the runs of the new version with those of the others, for each call, by two cumulative sums
 // (CUSUM) of log-likelihood ratios: one of failures, one of slow runs. A sum counts for the hypothesis that the new
@@ -20,6 +23,8 @@
 	referenceDecay = 0.93
 	// minReference is the number of runs of the other versions below which the usual share of failures is assumed.
 	minReference = 10
+	// minRemembered is the number of runs of an upstream of the other versions below which it is forgotten.
+	minRemembered = 0.5
 )
 
 // test is one of the two hypotheses about the share of bad runs.
@@ -50,10 +55,15 @@
 }
 
 type callJudge struct {
-	durations [durationBuckets]float64 // of the other versions
+	others   map[string]*sample // runs of the other versions, by upstream
+	failures cusum
+	slow     cusum
+}
+
+// sample holds recent runs; earlier ones have lost weight.
+type sample struct {
 	failed    float64
-	failures  cusum
-	slow      cusum
+	durations [durationBuckets]float64 // of the others
 }
 
 // cusum is a sum that never falls below 0, with the part that each upstream contributed since it was 0.
@@ -71,7 +81,7 @@
 func (j *Judge) call(name string) *callJudge {
 	found := j.calls[name]
 	if found == nil {
-		found = &callJudge{}
+		found = &callJudge{others: make(map[string]*sample)}
 		j.calls[name] = found
 	}
 	return found
@@ -80,63 +90,113 @@
 // Decay lets earlier runs of the other versions lose weight. It is called once a round.
 func (j *Judge) Decay() {
 	for _, c := range j.calls {
-		c.failed *= referenceDecay
-		for i := range c.durations {
-			c.durations[i] *= referenceDecay
+		for name, other := range c.others {
+			other.decay()
+			if other.runs() < minRemembered {
+				delete(c.others, name)
+			}
 		}
 	}
 }
 
-// AddReference adds runs of another version.
-func (j *Judge) AddReference(call string, t *Tally) {
+// AddReference adds runs of another version on an upstream.
+func (j *Judge) AddReference(call, host string, t *Tally) {
 	c := j.call(call)
-	c.failed += float64(t.Failed)
+	other := c.others[host]
+	if other == nil {
+		other = &sample{}
+		c.others[host] = other
+	}
+	other.failed += float64(t.Failed)
 	for i, count := range t.Durations {
-		c.durations[i] += float64(count)
+		other.durations[i] += float64(count)
 	}
 }
 
 // Add adds runs of the new version on an upstream. With several, no upstream alone makes the version bad.
 func (j *Judge) Add(call, host string, several bool, t *Tally) {
 	c := j.call(call)
-	answered, reference := 0.0, 0.0
-	for i, count := range t.Durations {
-		answered += float64(count)
-		reference += c.durations[i]
-	}
 	limit := math.Inf(1)
 	if several {
 		limit = verdictScore * hostShare
 	}
-	share := 0.0
-	if all := reference + c.failed; all >= minReference {
-		share = c.failed / all
-	}
-	c.failures.add(host, limit, failureTest, share, answered, float64(t.Failed))
-	if reference < minReference {
+	failed, all := float64(t.Failed), float64(t.runs())
+	usual := c.usualShare(func(s *sample) float64 { return s.failed })
+	c.failures.add(host, limit, failureTest, usual, all-failed, failed)
+	reference := c.reference()
+	if reference.answered() < minReference {
 		return
 	}
-	slowFrom := c.median(reference) + slowOctaves
-	slow, usuallySlow := float64(t.Failed), c.failed // a slow run may end at its deadline
-	for i := min(slowFrom, durationBuckets); i < durationBuckets; i++ {
-		slow += float64(t.Durations[i])
-		usuallySlow += c.durations[i]
+	slowFrom := min(reference.median()+slowOctaves, durationBuckets)
+	slow := failed // a slow run may end at its deadline
+	for _, count := range t.Durations[slowFrom:] {
+		slow += float64(count)
+	}
+	usual = c.usualShare(func(s *sample) float64 { return s.failed + sum(s.durations[slowFrom:]) })
+	c.slow.add(host, limit, slowTest, usual, all-slow, slow)
+}
+
+// reference returns the runs of all other versions.
+func (c *callJudge) reference() *sample {
+	var all sample
+	for _, other := range c.others {
+		all.failed += other.failed
+		for i, count := range other.durations {
+			all.durations[i] += count
+		}
+	}
+	return &all
+}
+
+// usualShare returns the share of the runs of the other versions that are bad, as on the median upstream: a single one
+// may fail all. Of two upstreams, the better one counts. Without an upstream that has enough runs, it is that of all
+// together.
+func (c *callJudge) usualShare(bad func(*sample) float64) float64 {
+	shares := make([]float64, 0, len(c.others))
+	for _, other := range c.others {
+		if runs := other.runs(); runs >= minReference {
+			shares = append(shares, bad(other)/runs)
+		}
+	}
+	if len(shares) > 0 {
+		slices.Sort(shares)
+		return shares[(len(shares)-1)/2]
+	}
+	if all := c.reference(); all.runs() >= minReference {
+		return bad(all) / all.runs()
+	}
+	return 0
+}
+
+func (s *sample) decay() {
+	s.failed *= referenceDecay
+	for i := range s.durations {
+		s.durations[i] *= referenceDecay
 	}
-	runs := answered + float64(t.Failed)
-	c.slow.add(host, limit, slowTest, usuallySlow/(reference+c.failed), runs-slow, slow)
 }
 
-// median returns the bucket of the median duration of the other versions.
-func (c *callJudge) median(runs float64) int {
-	sum := 0.0
-	for i, count := range c.durations {
-		if sum += count; sum >= runs/2 {
+func (s *sample) runs() float64     { return s.failed + s.answered() }
+func (s *sample) answered() float64 { return sum(s.durations[:]) }
+
+// median returns the bucket of the median duration.
+func (s *sample) median() int {
+	seen, half := 0.0, s.answered()/2
+	for i, count := range s.durations {
+		if seen += count; seen >= half {
 			return i
 		}
 	}
 	return durationBuckets - 1
 }
 
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
+}
+
 // add adds the runs of one upstream to the sum.
 func (c *cusum) add(host string, limit float64, t test, reference, good, bad float64) {
 	goodWeight, badWeight := t.weights(reference)
--- a/internal/rollouter/judge_test.go
+++ b/internal/rollouter/judge_test.go
@@ -20,6 +20,7 @@
 	failure   func(round, call, host int) float64            // share of failed runs of the new version
 	slowdown  func(round, call, host int, r float64) float64 // factor on the duration; r is uniform in [0, 1)
 	reference float64                                        // share of failed runs of the other versions
+	faulty    float64                                        // the same of one of their machines, if it differs
 	busy      float64                                        // factor on the duration of all versions
 }
 
@@ -50,11 +51,17 @@
 		judge.Decay()
 		for call := range scenarioCalls {
 			name := fmt.Sprint("call-", call)
-			var reference Tally
-			for range 60 {
-				reference.Add(r.Float64() < s.reference, lognormal(r, 100*s.busy))
+			var references [scenarioHosts]Tally
+			for i := range 60 {
+				failure := s.reference
+				if i%scenarioHosts == 0 && s.faulty > 0 {
+					failure = s.faulty
+				}
+				references[i%scenarioHosts].Add(r.Float64() < failure, lognormal(r, 100*s.busy))
+			}
+			for i := range references {
+				judge.AddReference(name, fmt.Sprint("other-", i), &references[i])
 			}
-			judge.AddReference(name, &reference)
 		}
 		for range s.perRound {
 			call, host := r.IntN(scenarioCalls), r.IntN(scenarioHosts)
@@ -109,6 +116,14 @@
 			name: "bad, all versions fail", bad: true, perRound: 40, failure: always(0.5), slowdown: steady, reference: 0.1,
 			busy: 1,
 		},
+		{
+			name: "good, an old machine fails", perRound: 40, failure: always(0.004), slowdown: steady, reference: 0.004,
+			faulty: 1, busy: 1,
+		},
+		{
+			name: "bad, an old machine fails", bad: true, perRound: 40, failure: always(0.5), slowdown: steady,
+			reference: 0.004, faulty: 1, busy: 1,
+		},
 	}
 }
 
--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -232,7 +232,9 @@
 	runs, reporting := 0.0, 0
 	for _, member := range others {
 		report, ok := reports[member.Name]
-		last, rounds := m.record(member.Name, report, ok, func(call string, t *Tally) { m.judge.AddReference(call, t) })
+		last, rounds := m.record(member.Name, report, ok, func(call string, t *Tally) {
+			m.judge.AddReference(call, member.Name, t)
+		})
 		if ok && last != nil && report.Runs >= last.Runs {
 			runs += float64(report.Runs-last.Runs) / float64(rounds)
 			reporting++
@@ -451,7 +453,8 @@
 	}
 	return Progress{
 		Service: order.Service, Target: order.Target, Stage: m.stage.String(), Started: m.started,
-		Exposed: int(m.exposed), Served: int(m.served), Judged: int(m.tallied), Score: math.Round(score*10) / 10, Reason: reason,
+		Exposed: int(m.exposed), Served: int(m.served), Judged: int(m.tallied),
+		Score: math.Round(score*10) / 10, Reason: reason,
 	}
 }
 
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// Guards against a bad version that gets requests again after the verdict, as the platform was restored to a state before
-// it and the upstreams had not learned of it.
+// Guards against a bad version that gets requests again after the verdict, as the platform was restored to a state
+// before it and the upstreams had not learned of it.
 func TestRestoredAfterVerdict(t *testing.T) {
 	f := newFleet(10, 10, 100)
 	f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
@@ -165,6 +165,23 @@
 	}
 }
 
+// Guards against a bad version that looks usual, since one of the upstreams of the other version fails all requests.
+func TestFaultyUpstreamOfOtherVersion(t *testing.T) {
+	for _, size := range []int{2, 10} {
+		f := newFleet(size, size, float64(50*size))
+		f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
+			if u == f.hosts[0] {
+				return 1
+			}
+			return map[string]float64{"v1": 0.003, "v2": 0.5}[u.member.Version]
+		}
+		f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 0), f.order.Period)
+		if f.order.Current().Phase != PhaseRolledBack || f.exposed > exposureLimit(f.total) {
+			t.Errorf("%d upstreams: %q, %d of %d requests", size, f.order.Current().Phase, f.exposed, f.total)
+		}
+	}
+}
+
 // Guards against a new version that is blamed for runs of the one before it that broke off when their upstream was
 // replaced.
 func TestRunsOfReplacedUpstream(t *testing.T) {
