Do not blame a version for calls of its runs that found no upstream

Cause: every run that ends with 500 counted as a failure of its version.

The entry node of a call within a run is the host node of that run. It now tells the gate of calls that no upstream took; each explains one run that was at work then and fails, and that run is not tallied, in any version. An answer to the call, such as 500, explains nothing.

TestFailedCallsOfRuns covers the entry.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -218,6 +218,9 @@
 // attempt may have run, and an id from a caller that is refused before it is claimed may have run when it was sent
 // earlier.
 func (e *Entry) reportFailure(w http.ResponseWriter, c *call, failure *classifier.Error) {
+	if e.Rollout != nil && c.job.Nested && isTransient(failure.Code) {
+		e.Rollout.NestedFailed()
+	}
 	uncertain := !c.job.Fresh && !c.job.Idempotent && !c.neverRan
 	if failure.Outcome == classifier.OutcomeNotRun && (uncertain || c.mayHaveRun && !e.keepNotRun) {
 		copied := *failure
--- a/internal/forwarder/key_test.go
+++ b/internal/forwarder/key_test.go
@@ -9,7 +9,9 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
+	"github.com/jasmineproxy/jasmineproxy/internal/classifier"
 	"github.com/jasmineproxy/jasmineproxy/internal/comparer"
 	"github.com/jasmineproxy/jasmineproxy/internal/compiler"
 	"github.com/jasmineproxy/jasmineproxy/internal/faker"
@@ -122,3 +124,34 @@
 		}
 	}
 }
+
+// rolloutRecorder counts the failed calls of runs.
+type rolloutRecorder struct {
+	Rollout
+	failed int
+}
+
+func (r *rolloutRecorder) NestedFailed() { r.failed++ }
+
+// Guards against runs that count against the version of their upstream because a call of theirs found no upstream, and
+// against failures of other callers and bad requests that explain such runs.
+func TestFailedCallsOfRuns(t *testing.T) {
+	for _, c := range []struct {
+		nested bool
+		code   classifier.Code
+		want   int
+	}{
+		{true, classifier.CodeNoUpstream, 1},
+		{true, classifier.CodeOverload, 1},
+		{true, classifier.CodeBadRequest, 0},
+		{false, classifier.CodeNoUpstream, 0},
+	} {
+		recorder := &rolloutRecorder{}
+		e := &Entry{Options: Options{Clock: timekeeper.System(), Logger: zap.NewNop(), Rollout: recorder}}
+		x := &call{job: job{Nested: c.nested}, route: router.Route{Call: &compiler.Call{}}}
+		e.reportFailure(httptest.NewRecorder(), x, classifier.Refuse(c.code, "a", "no"))
+		if recorder.failed != c.want {
+			t.Errorf("nested %v, code %v: %d failed calls", c.nested, c.code, recorder.failed)
+		}
+	}
+}
--- a/internal/forwarder/options.go
+++ b/internal/forwarder/options.go
@@ -82,6 +82,7 @@
 	Open() bool  // whether the upstream takes new requests
 	Begin() bool // counts a request that starts; false if it must not
 	Record(call string, failed bool, duration timekeeper.Millis)
+	NestedFailed() // a call that the upstream made within a run found no upstream that took it
 }
 
 // Options configures NewEntry and NewHost. Components that are nil are not used.
@@ -136,12 +137,12 @@
 	Bulk        *BulkPacer // spaces long responses; nil for none
 	Coordinator deduplicator.Coordinator
 	Isolator    Isolator
+	Rollout     Rollout
 
 	// Host node.
 	Queue    *admitter.Queue
 	Prober   Prober
 	Observer Observer
-	Rollout  Rollout
 	Upstream string // address of the upstream, such as 127.0.0.1:9000
 	// Instance returns the id of the upstream's current process, false if none accepts new work; nil if processes have
 	// no ids.
--- a/internal/rollouter/gate.go
+++ b/internal/rollouter/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -17,6 +18,9 @@
 	Working int               // requests that run or wait
 }
 
+// maxNested bounds the failed calls of runs that a gate remembers.
+const maxNested = 256
+
 // GateOptions are the settings and dependencies of a Gate.
 type GateOptions struct {
 	Service     string
@@ -44,6 +48,7 @@
 	version string            // of the upstream that the counts are about
 	since   timekeeper.Millis // when version was first seen; earlier runs were those of another one
 	calls   map[string]Tally
+	nested  []timekeeper.Millis // when calls of runs failed that no ended run is explained by yet; oldest first
 }
 
 // NewGate returns a gate without an order, which admits all requests.
@@ -153,6 +158,9 @@
 	if g.order == nil || g.options.Clock.Now()-duration < max(upstream.WarmAt, g.since) {
 		return
 	}
+	if failed && g.explained(duration) {
+		return
+	}
 	tally, known := g.calls[call]
 	if !known && len(g.calls) >= maxCalls {
 		return
@@ -161,6 +169,28 @@
 	g.calls[call] = tally
 }
 
+// NestedFailed notes that a call that the upstream made within a run found no upstream that took it. One run that fails
+// because of it is not tallied: it says nothing about the version.
+func (g *Gate) NestedFailed() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.order == nil {
+		return
+	}
+	g.nested = append(g.nested[max(len(g.nested)-maxNested+1, 0):], g.options.Clock.Now())
+}
+
+// explained reports whether a call failed during a run that ends now, and takes that call.
+func (g *Gate) explained(duration timekeeper.Millis) bool {
+	started := g.options.Clock.Now() - duration
+	i := slices.IndexFunc(g.nested, func(at timekeeper.Millis) bool { return at >= started })
+	if i < 0 {
+		return false
+	}
+	g.nested = slices.Delete(g.nested, i, i+1)
+	return true
+}
+
 // Apply puts a grant into force and returns a report.
 func (g *Gate) Apply(grant *Grant) Report {
 	upstream := g.options.Upstream()
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -182,6 +182,30 @@
 	}
 }
 
+// Guards against a good version that is rolled back, as its runs fail during the switch because the service that they
+// call is short of upstreams; and against a bad one that is not found for that reason.
+func TestShortageOfCalledService(t *testing.T) {
+	for _, c := range []struct {
+		failing float64 // share of the runs of the new version
+		want    Phase
+	}{{0.003, PhaseCompleted}, {0.5, PhaseRolledBack}} {
+		f := newFleet(10, 10, 100)
+		f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
+			return map[string]float64{"v1": 0.003, "v2": c.failing}[u.member.Version]
+		}
+		f.short = func() float64 {
+			return map[bool]float64{true: 0.4}[f.order.Current().Switching || c.want == PhaseRolledBack]
+		}
+		f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 0), f.order.Period)
+		if f.order.Current().Phase != c.want {
+			t.Errorf("%q, not %q; %d of %d requests", f.order.Current().Phase, c.want, f.exposed, f.total)
+		}
+		if c.want == PhaseRolledBack && f.exposed > exposureLimit(f.total) {
+			t.Errorf("%d of %d requests reached the version", f.exposed, f.total)
+		}
+	}
+}
+
 // Guards against a new version that is blamed for runs of the one before it that broke off when their upstream was
 // replaced.
 func TestRunsOfReplacedUpstream(t *testing.T) {
