Do not take a part of a mesh that starts for the whole

Cause: the six nodes had started as two groups, {n0, n1} and the others, that found each other when their relays polled the seed objects again, 4 s later. A node counts the mesh as known 1.5 s after its last new member, so the hosts of the new version saw no other version and opened as the only one.

A node of a new mesh, whose number of nodes the platform does not state yet, now waits two polls of relays and a second before it takes a version for the only one. A node that joins a mesh, or is alone, does not wait.

TestPartOfMeshThatStarts fails in two cases with the wait taken out.

--- a/internal/runner/hosted.go
+++ b/internal/runner/hosted.go
@@ -123,7 +123,8 @@
 	})
 	n.seeder = &seeder{
 		platform: platform, tracker: n.tracker, zone: n.settings.Zone, peer: n.settings.Announced(),
-		logger: n.loggerFor("seeder"), wake: make(chan struct{}, 1),
+		clock: n.dependencies.Clock, started: n.dependencies.Clock.Now(), logger: n.loggerFor("seeder"),
+		wake: make(chan struct{}, 1),
 	}
 	n.settler = tracker.NewSettler(n.tracker, n.dependencies.Clock, n.seeder.isOnly)
 	n.seeder.settled = n.settler.Settled
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -62,7 +62,7 @@
 // aloneWithVersion reports whether no member of the service, of any health, has another version. A node that does not
 // know the mesh yet cannot tell.
 func (n *Hosted) aloneWithVersion(version string) bool {
-	if !n.settler.Settled() {
+	if !n.settler.Settled() || !n.seeder.merged() {
 		return false
 	}
 	for _, member := range n.tracker.Service(n.settings.Service) {
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -32,6 +32,9 @@
 	// lonelyPolls is the number of polls in a row that list no other node after which there is none: nodes that start at
 	// the same time see no seed object at their first poll.
 	lonelyPolls = 2
+	// mergeTime is the time after the start in which groups of nodes that started together and did not find each other
+	// at first do: their relays poll again within two periods, and members spread in a second.
+	mergeTime = 2*startPeriod + timekeeper.Second
 )
 
 // seeds is the value of a seed object: peer addresses of members of one data centre, and at least how many there are.
@@ -48,6 +51,8 @@
 	tracker  *tracker.Tracker
 	zone     string
 	peer     string
+	clock    timekeeper.Clock
+	started  timekeeper.Millis
 	logger   *zap.Logger
 	wake     chan struct{}     // ends the pause between two polls; nil if the platform states no eras
 	lonely   atomic.Int32      // polls in a row that listed no other node
@@ -123,6 +128,12 @@
 	return int(s.members.Load())
 }
 
+// merged reports whether this node had time to find all others. Nodes of a new mesh that start together may form
+// groups, each of which looks complete; the platform does not state the number of nodes then.
+func (s *seeder) merged() bool {
+	return s.listed() > 0 || s.isOnly() || s.clock.Now()-s.started >= mergeTime
+}
+
 // countMembers adds the members that seed objects state; 0 if one of them states none.
 func countMembers(objects []connector.Object) int {
 	sum := 0
--- a/internal/runner/seeder_test.go
+++ b/internal/runner/seeder_test.go
@@ -161,3 +161,42 @@
 		t.Errorf("rounded numbers differ (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against upstreams of a new version that take all requests, since their nodes took a part of a mesh that starts
+// for all of it and knew no other version. A node that joins a mesh need not wait.
+func TestPartOfMeshThatStarts(t *testing.T) {
+	for _, c := range []struct {
+		name, object     string
+		polls            int
+		atStart, atMerge bool
+	}{
+		{"others start, too", `{"format":1,"addresses":["10.0.0.2:1"]}`, 1, false, true},
+		{"platform out of reach", "", 0, false, true},
+		{"mesh runs", `{"format":1,"addresses":["10.0.0.2:1"],"members":7}`, 1, true, true},
+		{"only node", "", 2, true, true},
+	} {
+		clock, platform := timekeeper.Manual(0), faker.NewPlatform()
+		s := &seeder{
+			platform: platform, zone: "a", peer: "10.0.0.1:1", logger: zap.NewNop(), clock: clock.Clock(),
+			tracker: tracker.NewTracker(tracker.Options{
+				Self: tracker.Member{Name: "n", Zone: "a", Peer: "10.0.0.1:1"}, Clock: clock.Clock(), Seed: 1,
+			}),
+		}
+		if c.object != "" {
+			other := connector.Object{Kind: connector.KindSeed, Name: "a", Value: []byte(c.object)}
+			if err := platform.Store(other); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range c.polls {
+			if err := s.step(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		atStart := s.merged()
+		clock.Advance(mergeTime)
+		if atMerge := s.merged(); atStart != c.atStart || atMerge != c.atMerge {
+			t.Errorf("%s: merged %v, later %v", c.name, atStart, atMerge)
+		}
+	}
+}
