A single faulty upstream does not show what is usual

It now takes two upstreams with ten runs to show what is usual.

TestFaultyUpstreamOfOtherVersion with the other upstream limited failed before (completed). The golden file of the judge is unchanged.

--- a/internal/rollouter/judge.go
+++ b/internal/rollouter/judge.go
@@ -21,8 +21,10 @@
 	slowOctaves = 4
 	// referenceDecay is the factor by which earlier runs of the other versions lose weight with each round.
 	referenceDecay = 0.93
-	// minReference is the number of runs of the other versions below which the usual share of failures is assumed.
+	// minReference is the number of runs below which an upstream of the other versions, or all of them for the median
+	// duration, show nothing. minUpstreams is the number of upstreams that it takes to show what is usual.
 	minReference = 10
+	minUpstreams = 2
 	// minRemembered is the number of runs of an upstream of the other versions below which it is forgotten.
 	minRemembered = 0.5
 )
@@ -148,9 +150,9 @@
 	return &all
 }
 
-// usualShare returns the share of the runs of the other versions that are bad, as on the median upstream: a single one
-// may fail all. Of two upstreams, the better one counts. Without an upstream that has enough runs, it is that of all
-// together.
+// usualShare returns the share of the runs of the other versions that are bad, as on the median upstream; of two, as on
+// the better one. Upstreams with few runs are left out. A single one may be faulty and shows nothing: the share is then
+// 0, since a good version that is rolled back costs callers less than a bad one that goes on.
 func (c *callJudge) usualShare(bad func(*sample) float64) float64 {
 	shares := make([]float64, 0, len(c.others))
 	for _, other := range c.others {
@@ -158,14 +160,11 @@
 			shares = append(shares, bad(other)/runs)
 		}
 	}
-	if len(shares) > 0 {
-		slices.Sort(shares)
-		return shares[(len(shares)-1)/2]
+	if len(shares) < minUpstreams {
+		return 0
 	}
-	if all := c.reference(); all.runs() >= minReference {
-		return bad(all) / all.runs()
-	}
-	return 0
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
 }
 
 func (s *sample) decay() {
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -165,10 +165,15 @@
 	}
 }
 
-// Guards against a bad version that looks usual, since one of the upstreams of the other version fails all requests.
+// Guards against a bad version that looks usual, since one of the upstreams of the other version fails all requests; or
+// the only one that gets many.
 func TestFaultyUpstreamOfOtherVersion(t *testing.T) {
-	for _, size := range []int{2, 10} {
-		f := newFleet(size, size, float64(50*size))
+	for _, c := range []struct {
+		size    int
+		limited bool
+	}{{2, false}, {10, false}, {2, true}} {
+		f := newFleet(c.size, c.size, float64(50*c.size))
+		f.hosts[1].limited = c.limited
 		f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
 			if u == f.hosts[0] {
 				return 1
@@ -177,7 +182,7 @@
 		}
 		f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 0), f.order.Period)
 		if f.order.Current().Phase != PhaseRolledBack || f.exposed > exposureLimit(f.total) {
-			t.Errorf("%d upstreams: %q, %d of %d requests", size, f.order.Current().Phase, f.exposed, f.total)
+			t.Errorf("%+v: %q, %d of %d requests", c, f.order.Current().Phase, f.exposed, f.total)
 		}
 	}
 }
