Complete a version only without a suspicion, on 20 runs or 2.4 s of switch

Cause: the evidence of one upstream is bounded by 5.5, and a suspicion began at 5: while only one upstream of the version is within reach, a few runs that succeed take the score below it. The switch could end after two rounds with hardly a run, and the round before the completed status was not judged.

The switch takes 20 runs, or 2.4 s in a service with few requests; a suspicion in the last round leads back to the switch.

--- a/internal/rollouter/judge.go
+++ b/internal/rollouter/judge.go
@@ -13,7 +13,7 @@
 	// verdictScore is the sum from which a version counts as bad, and suspectScore that from which it is not brought into
 	// force yet.
 	verdictScore = 10.0
-	suspectScore = 5.0
+	suspectScore = 2.0
 	// hostShare is the largest part of verdictScore that one upstream can contribute: a single slow or failing machine
 	// does not make the version bad.
 	hostShare = 0.55
--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -22,6 +22,10 @@
 	observedShare = 0.5
 	latestShare   = 0.65
 	enoughRuns    = 60
+	// leastRuns is the number of runs without which the others are held for takeoverRounds before the version is
+	// completed.
+	leastRuns      = 20
+	takeoverRounds = 6
 	// rotationRounds is the number of rounds after which other upstreams are on trial: one alone may be slow or fail.
 	rotationRounds = 3
 	// afterRounds is the number of rounds for which an upstream reports after its trial: runs that are slow end later.
@@ -329,23 +333,31 @@
 			m.stage, m.takeover = stageSwitch, 0
 		}
 	case stageSwitch:
-		switch {
-		case !order.Current().Switching, !m.serving(candidates, others, reports):
-			m.takeover = 0 // upstreams that start now must know of the switch
-		case m.takeover < 1 || m.idle(others, reports):
-			m.takeover++
-		}
-		if m.takeover > 1 && score < suspectScore {
-			m.stage = stageFinal
-		}
+		m.takeOver(order, score, candidates, others, reports)
 	case stageFinal:
-		if !m.serving(candidates, others, reports) || !m.idle(others, reports) {
+		if score >= suspectScore || !m.serving(candidates, others, reports) || !m.idle(others, reports) {
 			m.stage, m.takeover = stageSwitch, 1
 		}
 	case stageStop:
 	}
 }
 
+// takeOver counts the rounds in which the new version serves and the others end their requests, and ends the switch.
+func (m *Machine) takeOver(
+	order *Order, score float64, candidates, others []tracker.Member, reports map[string]Report,
+) {
+	switch {
+	case !order.Current().Switching, !m.serving(candidates, others, reports):
+		m.takeover = 0 // upstreams that start now must know of the switch
+	case m.takeover < 1 || m.idle(others, reports):
+		m.takeover++
+	}
+	enough := m.takeover > 1 && m.tallied >= leastRuns || m.takeover > takeoverRounds
+	if enough && score < suspectScore {
+		m.stage = stageFinal
+	}
+}
+
 // mayTakeOver reports whether the time and the evidence allow to bring the version into force.
 func (m *Machine) mayTakeOver(now timekeeper.Millis, order *Order, score float64) bool {
 	elapsed := float64(now-m.started) / float64(max(order.Period, 1))
--- a/internal/rollouter/machine_test.go
+++ b/internal/rollouter/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -187,6 +188,28 @@
 	}
 }
 
+// Guards against a bad version that is completed, as the evidence of its only upstream within reach is bounded and a
+// few runs that succeed take the score below the suspicion.
+func TestBadVersionOnFewRuns(t *testing.T) {
+	completed := 0
+	const seeds = 1000
+	for seed := range uint64(seeds) {
+		f := newFleet(2, 2, 10)
+		f.random = rand.New(rand.NewPCG(seed, 1))
+		f.hosts[3].cut = true
+		f.bad = func(u *upstream, _ timekeeper.Millis) float64 {
+			return map[string]float64{"v1": 0.003, "v2": 0.5}[u.member.Version]
+		}
+		f.run(NewMachine(f.clock.Clock().Now(), exposureShare, 0), f.order.Period)
+		if f.order.Current().Phase == PhaseCompleted {
+			completed++
+		}
+	}
+	if completed > 0 {
+		t.Errorf("%d of %d bad versions are completed", completed, seeds)
+	}
+}
+
 // Guards against a good version that is rolled back, as its runs fail during the switch because the service that they
 // call is short of upstreams; and against a bad one that is not found for that reason.
 func TestShortageOfCalledService(t *testing.T) {
