--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 # 212 (the check of planned work counted the startup of the nodes as planned work), 305 (requests ran twice by their
 # method) and 9205 (calls to the platform timed out on one silent connection after the other). In 5, a key is withdrawn
 # while the platform is out of reach. In 98011 and 99003, a node that did not know all others yet ended a roll-out. In
-# 52044, a good version is blamed for failures of the service that it calls; in 52047 and 305, a bad one looks usual.
+# 52044, a good version is blamed for failures of the service that it calls; in 52047, a bad one looks usual.
 SOAK_REGRESSIONS := 5 8 212 305 9205 98011 99003 52044 52047
 SEEDS ?= 50
 FIRST ?= 1000
--- a/internal/rollouter/judge.go
+++ b/internal/rollouter/judge.go
@@ -11,7 +11,7 @@
 // a version that turns bad late is found as soon as one that is bad from the start.
 const (
 	// verdictScore is the sum from which a version counts as bad, and suspectScore that from which it is not brought into
-	// force yet.
+	// force yet. Runs that succeed lower a sum that has reached the bound of one upstream, so the two are far apart.
 	verdictScore = 10.0
 	suspectScore = 2.0
 	// hostShare is the largest part of verdictScore that one upstream can contribute: a single slow or failing machine
@@ -51,8 +51,8 @@
 	return math.Log((1 - alternative) / (1 - null)), math.Log(alternative / null)
 }
 
-// maxUsualFailures is the share of failures above which the other versions show nothing about a version that has it,
-// too.
+// maxUsualFailures is the share of failed runs above which, in both the new version and the others, comparing the two
+// shows nothing.
 const maxUsualFailures = 0.1
 
 // Judge decides whether a new version is bad.
@@ -71,7 +71,7 @@
 // sample holds recent runs; earlier ones have lost weight.
 type sample struct {
 	failed    float64
-	durations [durationBuckets]float64 // of the others
+	durations [durationBuckets]float64 // of runs that did not fail
 }
 
 // cusum is a sum that never falls below 0, with the part that each upstream contributed since it was 0.
--- a/internal/rollouter/machine.go
+++ b/internal/rollouter/machine.go
@@ -22,8 +22,8 @@
 	observedShare = 0.5
 	latestShare   = 0.65
 	enoughRuns    = 60
-	// leastRuns is the number of runs without which the others are held for takeoverRounds before the version is
-	// completed.
+	// leastRuns is the number of judged runs after which a version may be completed. A service with few requests waits
+	// for takeoverRounds instead, in which the others take nothing.
 	leastRuns      = 20
 	takeoverRounds = 6
 	// rotationRounds is the number of rounds after which other upstreams are on trial: one alone may be slow or fail.
@@ -337,7 +337,7 @@
 			m.stage = stageTrial // which bounds its requests
 			return
 		}
-		m.takeOver(order, score, candidates, others, reports)
+		m.advanceSwitch(order, score, candidates, others, reports)
 	case stageFinal:
 		if score >= suspectScore || !m.serving(candidates, others, reports) || !m.idle(others, reports) {
 			m.stage, m.takeover = stageSwitch, 1
@@ -346,8 +346,9 @@
 	}
 }
 
-// takeOver counts the rounds in which the new version serves and the others end their requests, and ends the switch.
-func (m *Machine) takeOver(
+// advanceSwitch counts the rounds in which the new version serves and the others end their requests, and ends the
+// switch.
+func (m *Machine) advanceSwitch(
 	order *Order, score float64, candidates, others []tracker.Member, reports map[string]Report,
 ) {
 	switch {
--- a/internal/runner/seeder.go
+++ b/internal/runner/seeder.go
@@ -32,8 +32,8 @@
 	// lonelyPolls is the number of polls in a row that list no other node after which there is none: nodes that start at
 	// the same time see no seed object at their first poll.
 	lonelyPolls = 2
-	// mergeTime is the time after the start in which groups of nodes that started together and did not find each other
-	// at first do: their relays poll again within two periods, and members spread in a second.
+	// mergeTime is the time after which nodes that started together know each other. They may form groups at first, whose
+	// relays poll the seed objects again within two periods; the members then spread in a second.
 	mergeTime = 2*startPeriod + timekeeper.Second
 )
 
